Give the system its command line and a demo

Cause: the path could only be driven from a script. Change: daemons with checked settings (entry, agent, check), ctl with a subcommand a call and apply -f, stand-ins as processes, demo with three rival groups and a fixed run (--once). A stopped entry host now closes its links itself: before, each agent waited 1 s for the dead peer.

--- a/src/lugcross/agent/app.py
+++ b/src/lugcross/agent/app.py
@@ -72,6 +72,18 @@
             incarnation=self.incarnation,
         )
 
+    def backend(self, capacity: int) -> cfg.BackendServer:
+        """Return the object that operators publish for this agent."""
+        settings = self._settings
+        return cfg.BackendServer(
+            name=settings.backend,
+            domain=settings.node.domain,
+            host=settings.link.host,
+            port=self.port,
+            services=tuple(settings.services),
+            capacity=capacity,
+        )
+
     def application(self) -> app_lib.Application:
         """Return the application that owns this agent's parts."""
         app = app_lib.Application(name=self._settings.node.name)
--- a/src/lugcross/cfg/__init__.py
+++ b/src/lugcross/cfg/__init__.py
@@ -8,6 +8,10 @@
 from lugcross.cfg.change import Remove
 from lugcross.cfg.change import SCHEMA
 from lugcross.cfg.change import STREAM
+from lugcross.cfg.compare import compare
+from lugcross.cfg.compare import Difference
+from lugcross.cfg.compare import load_wanted
+from lugcross.cfg.compare import WantedFile
 from lugcross.cfg.model import BackendServer
 from lugcross.cfg.model import hash_key
 from lugcross.cfg.model import Kind
@@ -42,6 +46,7 @@
     "BackendServer",
     "Change",
     "Config",
+    "Difference",
     "Follower",
     "Item",
     "Kind",
@@ -57,12 +62,15 @@
     "Standing",
     "Store",
     "Verdict",
+    "WantedFile",
     "Workspace",
     "WorkspaceGroup",
+    "compare",
     "decode",
     "encode",
     "hash_key",
     "judge",
+    "load_wanted",
     "new_key",
     "settings",
     "step",
--- a/src/lugcross/cfg/settings.py
+++ b/src/lugcross/cfg/settings.py
@@ -7,6 +7,7 @@
 from typing import Any
 from typing import final
 from typing import TypeVar
+import urllib.parse
 
 import msgspec
 import yaml
@@ -123,7 +124,7 @@
     token_sha256: str
 
 
-class Daemon(_Strict, frozen=True, kw_only=True):
+class Daemon(_Strict, frozen=True, kw_only=True, tag_field="program"):
     """What every program needs.
 
     :param grace_s: longest time for work in progress at a planned
@@ -138,7 +139,7 @@
 
 
 @final
-class Entry(Daemon, frozen=True, kw_only=True):
+class Entry(Daemon, frozen=True, kw_only=True, tag="entry"):
     """Settings of ``lugcross entry``.
 
     :param http: for callers.
@@ -158,22 +159,51 @@
 
 
 @final
-class Agent(Daemon, frozen=True, kw_only=True):
+class Agent(Daemon, frozen=True, kw_only=True, tag="agent"):
     """Settings of ``lugcross agent``.
 
     :param backend: name of this backend server in the configuration.
     :param link: for entry hosts.
-    :param services: base URL of what stands behind each service.
+    :param services: base URL of what stands behind each service; with
+        an IP number.
     """
 
     backend: str
     link: Address
     services: dict[str, str]
 
+    def __post_init__(self) -> None:
+        for url in self.services.values():
+            parts = urllib.parse.urlsplit(url)
+            if parts.scheme != "http":
+                raise ValueError(f"{url!r} is not an http:// URL")
+            _check_host(parts.hostname or "")
+
+
+#: Settings of any program; the field ``program`` tells which.
+Program = Entry | Agent
+
 
 _S = TypeVar("_S", bound=_Strict)
 
 
+def check(path: str) -> Program:
+    """Return the checked settings of whichever program they are for.
+
+    :raises errors.SettingsError: naming file, path and remedy.
+    """
+    text = _read(path)
+    program = _to_raw(text, path)
+    name = program.get("program") if isinstance(program, dict) else None
+    classes: dict[object, type[Program]] = {"entry": Entry, "agent": Agent}
+    if name not in classes:
+        raise errors.SettingsError(
+            f"{path}: $.program is {name!r}",
+            remedy="set it to 'entry' or 'agent'",
+        )
+    return parse(text, classes[name], source=path)
+
+
 def parse(text: str, cls: type[_S], *, source: str) -> _S:
     """Return checked settings.
 
@@ -181,12 +211,7 @@
     :param source: file to name in errors.
     :raises errors.SettingsError: naming file, path and remedy.
     """
-    try:
-        raw: Any = yaml.safe_load(text)
-    except yaml.YAMLError as exc:
-        raise errors.SettingsError(
-            f"{source}: not YAML ({exc})", remedy="mend the line it names"
-        ) from exc
+    raw = _to_raw(text, source)
     try:
         return msgspec.convert(raw, cls, strict=True)
     except msgspec.ValidationError as exc:
@@ -200,14 +225,26 @@
 
     :raises errors.SettingsError: naming file, path and remedy.
     """
+    return parse(_read(path), cls, source=path)
+
+
+def _read(path: str) -> str:
     try:
-        text = pathlib.Path(path).read_text(encoding="utf-8")
-    except OSError as exc:
+        return pathlib.Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as exc:
         raise errors.SettingsError(
-            f"{path}: cannot be read ({exc.strerror})",
+            f"{path}: cannot be read ({exc})",
             remedy="give the path of a readable settings file",
         ) from exc
-    return parse(text, cls, source=path)
+
+
+def _to_raw(text: str, source: str) -> Any:
+    try:
+        return yaml.safe_load(text)
+    except yaml.YAMLError as exc:
+        raise errors.SettingsError(
+            f"{source}: not YAML ({exc})", remedy="mend the line it names"
+        ) from exc
 
 
 def _fields(cls: type[_Strict], prefix: str = "") -> str:
--- /dev/null
+++ b/src/lugcross/cli/ctl.py
@@ -0,0 +1,434 @@
+# SPDX-License-Identifier: Apache-2.0
+"""The operators' client: a subcommand a call."""
+
+from collections.abc import Callable
+import json
+import pathlib
+import sys
+from typing import Any
+
+import click
+from google.protobuf import json_format
+from google.protobuf import message
+import rich.console
+import rich.table
+
+from lugcross import cfg
+from lugcross import ids
+from lugcross import rpc
+from lugcross.rpc import lugcross_pb2 as pb
+
+_REJECTED = 1
+_NOT_KNOWN = 3
+_STATUS = {
+    pb.STANDING_ACCEPTED: 0,
+    pb.STANDING_REJECTED: _REJECTED,
+    pb.STANDING_NOT_KNOWN_YET: _NOT_KNOWN,
+    pb.STANDING_NOT_APPENDED: _REJECTED,
+}
+
+
+class _Session:
+    """One call of the command line."""
+
+    def __init__(self, client: rpc.OperatorClient, as_json: bool) -> None:
+        self.client = client
+        self.as_json = as_json
+
+    def show(self, msg: message.Message, text: Callable[[], None]) -> None:
+        if self.as_json:
+            click.echo(json.dumps(_fields(msg)))
+        else:
+            text()
+
+    def finish(self, reply: pb.ChangeReply) -> None:
+        """Show what became of a change and end with its status."""
+        self.show(reply, lambda: click.echo(_sentence(reply)))
+        sys.exit(_STATUS.get(reply.standing, _REJECTED))
+
+    def revision(self, ref: cfg.Ref, expect: int | None) -> int:
+        """Return the revision to expect: given, or the one in force."""
+        if expect is not None:
+            return expect
+        return _current(self.client).get(ref, (None, 0))[1]
+
+    def put(self, obj: cfg.Object, expect: int | None, change_id: str) -> None:
+        revision = self.revision(obj.ref, expect)
+        self.finish(self.client.put(obj, expect=revision, change_id=change_id))
+
+
+def _change_options(func: Callable[..., None]) -> Callable[..., None]:
+    func = click.option(
+        "--expect",
+        type=int,
+        help="Revision that you saw; default: the one in force.",
+    )(func)
+    return click.option(
+        "--change-id", default="", help="Your id; the same id counts once."
+    )(func)
+
+
+@click.group()
+@click.option(
+    "--entry",
+    envvar="LUGCROSS_ENTRY",
+    required=True,
+    help="IP number and port of an entry host's RPC. [LUGCROSS_ENTRY]",
+)
+@click.option(
+    "--token",
+    envvar="LUGCROSS_TOKEN",
+    default="",
+    help="Your operator's token. [LUGCROSS_TOKEN]",
+)
+@click.option("--json", "as_json", is_flag=True, help="Answer as JSON.")
+@click.pass_context
+def ctl(ctx: click.Context, entry: str, token: str, as_json: bool) -> None:
+    """Drive a fleet through any of its entry hosts."""
+    client = rpc.OperatorClient(entry, token)
+    ctx.call_on_close(client.close)
+    ctx.obj = _Session(client, as_json)
+
+
+@ctl.command("put-group")
+@click.argument("name")
+@click.option("--share", type=float, required=True)
+@click.option("--priority", default=0)
+@_change_options
+@click.pass_obj
+def put_group(
+    session: _Session,
+    name: str,
+    share: float,
+    priority: int,
+    expect: int | None,
+    change_id: str,
+) -> None:
+    """Create or replace a workspace group."""
+    obj = cfg.WorkspaceGroup(name=name, share=share, priority=priority)
+    session.put(obj, expect, change_id)
+
+
+@ctl.command("put-workspace")
+@click.argument("name")
+@click.option("--group", required=True)
+@click.option("--key-hash", multiple=True, help="SHA-256 of a key, in hex.")
+@click.option("--new-key", is_flag=True, help="Make a key and print it.")
+@click.option("--max-inflight", default=0)
+@_change_options
+@click.pass_obj
+def put_workspace(
+    session: _Session,
+    name: str,
+    group: str,
+    key_hash: tuple[str, ...],
+    new_key: bool,
+    max_inflight: int,
+    expect: int | None,
+    change_id: str,
+) -> None:
+    """Create or replace a workspace."""
+    hashes = key_hash
+    if new_key:
+        key = cfg.new_key()
+        hashes = (*key_hash, cfg.hash_key(key))
+        click.echo(f"key, shown only now: {key}", err=True)
+    obj = cfg.Workspace(
+        name=name, group=group, key_hashes=hashes, max_inflight=max_inflight
+    )
+    session.put(obj, expect, change_id)
+
+
+@ctl.command("put-service")
+@click.argument("name")
+@click.option(
+    "--type",
+    "type_",
+    type=click.Choice([item.value for item in cfg.ServiceType]),
+    required=True,
+)
+@click.option("--repeatable/--not-repeatable", default=True)
+@click.option("--timeout", default=60.0, help="Seconds for an answer.")
+@click.option("--max-body", default=1_048_576, help="Bytes.")
+@click.option("--max-queue", default=256, help="At one backend server.")
+@_change_options
+@click.pass_obj
+def put_service(
+    session: _Session,
+    name: str,
+    type_: str,
+    repeatable: bool,
+    timeout: float,
+    max_body: int,
+    max_queue: int,
+    expect: int | None,
+    change_id: str,
+) -> None:
+    """Create or replace a service."""
+    obj = cfg.Service(
+        name=name,
+        type=cfg.ServiceType(type_),
+        repeatable=repeatable,
+        timeout_s=timeout,
+        max_body=max_body,
+        max_queue=max_queue,
+    )
+    session.put(obj, expect, change_id)
+
+
+@ctl.command("put-backend")
+@click.argument("name")
+@click.option("--domain", required=True, help="Its failure domain.")
+@click.option("--host", required=True, help="IP number of its agent.")
+@click.option("--port", type=int, required=True)
+@click.option("--service", multiple=True)
+@click.option("--capacity", default=8)
+@click.option("--checks-orders/--no-checks-orders", default=False)
+@click.option("--leaving/--not-leaving", default=False)
+@_change_options
+@click.pass_obj
+def put_backend(
+    session: _Session,
+    name: str,
+    domain: str,
+    host: str,
+    port: int,
+    service: tuple[str, ...],
+    capacity: int,
+    checks_orders: bool,
+    leaving: bool,
+    expect: int | None,
+    change_id: str,
+) -> None:
+    """Create or replace a backend server."""
+    obj = cfg.BackendServer(
+        name=name,
+        domain=domain,
+        host=host,
+        port=port,
+        services=service,
+        capacity=capacity,
+        checks_orders=checks_orders,
+        leaving=leaving,
+    )
+    session.put(obj, expect, change_id)
+
+
+@ctl.command("put-model-group")
+@click.argument("name")
+@click.option("--service", required=True)
+@click.option("--rank", multiple=True, help="Backend server, in order.")
+@click.option("--experts", default=128)
+@click.option("--layers", default=1)
+@_change_options
+@click.pass_obj
+def put_model_group(
+    session: _Session,
+    name: str,
+    service: str,
+    rank: tuple[str, ...],
+    experts: int,
+    layers: int,
+    expect: int | None,
+    change_id: str,
+) -> None:
+    """Create or replace a model group and its ranks."""
+    obj = cfg.ModelGroup(
+        name=name,
+        service=service,
+        ranks=rank,
+        experts=experts,
+        layers=layers,
+    )
+    session.put(obj, expect, change_id)
+
+
+@ctl.command("set-leaving")
+@click.argument("backend")
+@click.option("--off", is_flag=True, help="Take work again.")
+@_change_options
+@click.pass_obj
+def set_leaving(
+    session: _Session,
+    backend: str,
+    off: bool,
+    expect: int | None,
+    change_id: str,
+) -> None:
+    """Let a backend server leave: nothing new is sent to it."""
+    revision = session.revision(cfg.Ref(cfg.Kind.BACKEND, backend), expect)
+    session.finish(
+        session.client.set_leaving(
+            backend, not off, expect=revision, change_id=change_id
+        )
+    )
+
+
+@ctl.command()
+@click.argument("kind", type=click.Choice([k.value for k in cfg.Kind]))
+@click.argument("name")
+@_change_options
+@click.pass_obj
+def remove(
+    session: _Session,
+    kind: str,
+    name: str,
+    expect: int | None,
+    change_id: str,
+) -> None:
+    """Remove an object."""
+    ref = cfg.Ref(cfg.Kind(kind), name)
+    revision = session.revision(ref, expect)
+    session.finish(
+        session.client.remove(ref, expect=revision, change_id=change_id)
+    )
+
+
+@ctl.command()
+@click.argument("change_id")
+@click.pass_obj
+def change(session: _Session, change_id: str) -> None:
+    """Tell what became of a change."""
+    session.finish(session.client.change(change_id))
+
+
+@ctl.command()
+@click.pass_obj
+def config(session: _Session) -> None:
+    """Show the configuration in force."""
+    reply = session.client.config()
+    session.show(reply, lambda: _show_config(reply))
+
+
+@ctl.command()
+@click.pass_obj
+def status(session: _Session) -> None:
+    """Tell how the entry host stands and what it reaches."""
+    reply = session.client.status()
+    session.show(reply, lambda: _show_status(reply))
+
+
+@ctl.command()
+@click.argument("subject")
+@click.pass_obj
+def explain(session: _Session, subject: str) -> None:
+    """Tell what was decided about a request, server or change."""
+    reply = session.client.explain(subject)
+    session.show(reply, lambda: _show_decisions(reply))
+
+
+@ctl.command()
+@click.option("-f", "--file", type=click.Path(), required=True)
+@click.option("--prune", is_flag=True, help="Remove what is not in FILE.")
+@click.option("--dry-run", is_flag=True, help="Only show the difference.")
+@click.pass_obj
+def apply(session: _Session, file: str, prune: bool, dry_run: bool) -> None:
+    """Show how FILE differs from the configuration, and apply it."""
+    text = pathlib.Path(file).read_text(encoding="utf-8")
+    wanted = cfg.load_wanted(text, source=file)
+    found = cfg.compare(
+        _current(session.client), wanted.objects(), prune=prune
+    )
+    for difference in found:
+        click.echo(str(difference))
+    if not found:
+        click.echo("nothing to change")
+    if dry_run:
+        return
+    for difference in found:
+        reply = _carry_out(session.client, difference)
+        if reply.standing != pb.STANDING_ACCEPTED:
+            session.finish(reply)
+    click.echo(f"{len(found)} changes in force")
+
+
+def _carry_out(
+    client: rpc.OperatorClient, difference: cfg.Difference
+) -> pb.ChangeReply:
+    op = difference.op
+    if isinstance(op, cfg.Put):
+        return client.put(op.obj, expect=difference.expect)
+    return client.remove(op.ref, expect=difference.expect)
+
+
+def _current(
+    client: rpc.OperatorClient,
+) -> dict[cfg.Ref, tuple[cfg.Object, ids.Revision]]:
+    found = {}
+    for item in client.config().items:
+        obj = rpc.object_of(item)
+        found[obj.ref] = (obj, ids.Revision(item.revision))
+    return found
+
+
+def _fields(msg: message.Message) -> dict[str, Any]:
+    fields: dict[str, Any] = json_format.MessageToDict(
+        msg,
+        preserving_proto_field_name=True,
+        always_print_fields_with_no_presence=True,
+    )
+    return fields
+
+
+def _sentence(reply: pb.ChangeReply) -> str:
+    name = pb.Standing.Name(reply.standing).removeprefix("STANDING_")
+    parts = [f"change {reply.change_id}: {name.lower().replace('_', ' ')}"]
+    if reply.offset:
+        parts.append(f"at offset {reply.offset}")
+    if reply.reason:
+        parts.append(reply.reason)
+    if reply.current_revision:
+        parts.append(
+            f"the object is at revision {reply.current_revision} "
+            f"by {reply.current_author}"
+        )
+    return "; ".join(parts)
+
+
+def _show_config(reply: pb.Config) -> None:
+    table = rich.table.Table(title=f"configuration at offset {reply.offset}")
+    for name in ("object", "revision", "by", "fields"):
+        table.add_column(name)
+    for item in reply.items:
+        obj = rpc.object_of(item)
+        fields = " ".join(
+            f"{name}={getattr(obj, name)}"
+            for name in obj.__struct_fields__
+            if name != "name"
+        )
+        table.add_row(str(obj.ref), str(item.revision), item.author, fields)
+    rich.console.Console().print(table)
+
+
+def _show_status(reply: pb.NodeStatus) -> None:
+    state = reply.unready or "ready"
+    click.echo(
+        f"{reply.node} in {reply.domain}: {state}; configuration at offset "
+        f"{reply.offset}, heard {reply.knowledge_age_s:.1f} s ago; "
+        f"{reply.inflight} requests in progress"
+    )
+    table = rich.table.Table()
+    for name in ("backend server", "domain", "state", "queue", "running"):
+        table.add_column(name)
+    for peer in reply.peers:
+        table.add_row(
+            peer.backend,
+            peer.domain,
+            peer.why_down or peer.leaving or "linked",
+            str(peer.queued),
+            f"{peer.running}/{peer.capacity}",
+        )
+    rich.console.Console().print(table)
+
+
+def _show_decisions(reply: pb.ExplainReply) -> None:
+    for item in reply.decisions:
+        inputs = f" [{'; '.join(item.inputs)}]" if item.inputs else ""
+        click.echo(
+            f"{item.at:.3f} {item.node} {item.topic}: {item.result} "
+            f"({item.rule}){inputs}"
+        )
+    if not reply.decisions:
+        click.echo("this entry host keeps no decision about it")
+    if reply.overwritten:
+        click.echo(f"{reply.overwritten} older decisions are overwritten")
--- /dev/null
+++ b/src/lugcross/cli/demo.py
@@ -0,0 +1,54 @@
+# SPDX-License-Identifier: Apache-2.0
+"""Runs the demo."""
+
+import contextlib
+import sys
+
+import click
+
+from lugcross import demo as demo_lib
+from lugcross import observe
+
+
+@click.command()
+@click.option("--once", is_flag=True, help="A fixed run; ends by itself.")
+@click.option("--seconds", type=float, help="End after so long.")
+def demo(once: bool, seconds: float | None) -> None:
+    """Run a small fleet in this process, with traffic of three rivals."""
+    observe.set_up("demo", "error")
+    fleet = demo_lib.Fleet()
+    fleet.start()
+    good = True
+    try:
+        if once:
+            good = demo_lib.FixedRun(fleet).run()
+        else:
+            _explain(fleet)
+            _show(fleet, seconds)
+    finally:
+        fleet.stop()
+    sys.exit(0 if good else 1)
+
+
+def _explain(fleet: demo_lib.Fleet) -> None:
+    key = fleet.rivals[0].key
+    click.echo(
+        "try:\n"
+        f"  curl -N {fleet.urls[0]}/v1/completions "
+        f"-H 'Authorization: Bearer {key}' "
+        "-H 'Content-Type: application/json' "
+        f'-d \'{{"model": "{demo_lib.MODEL}", "prompt": "hello", '
+        '"max_tokens": 8, "stream": true}\'\n'
+        f"  lugcross ctl --entry {fleet.rpc_target} "
+        f"--token {fleet.token} put-group greedy --share 6\n"
+    )
+
+
+def _show(fleet: demo_lib.Fleet, seconds: float | None) -> None:
+    traffic = demo_lib.Traffic(fleet)
+    traffic.start()
+    try:
+        with contextlib.suppress(KeyboardInterrupt):
+            traffic.show(seconds)
+    finally:
+        traffic.stop()
--- /dev/null
+++ b/src/lugcross/cli/standin.py
@@ -0,0 +1,100 @@
+# SPDX-License-Identifier: Apache-2.0
+"""Runs stand-ins as processes of their own."""
+
+import click
+
+from lugcross import app as app_lib
+from lugcross import cfg
+from lugcross import observe
+from lugcross import standin as standin_lib
+from lugcross.standin import faults
+
+
+@click.group()
+@click.option("--host", default="127.0.0.1", show_default=True)
+@click.option("--port", default=0, help="0 lets the system choose.")
+@click.option("--name", default="standin", help="Name in logs and spans.")
+@click.pass_context
+def standin(ctx: click.Context, host: str, port: int, name: str) -> None:
+    """Run a stand-in of the platform or of a backend server."""
+    observe.set_up(name, "info")
+    ctx.obj = _Place(host, port, name)
+
+
+class _Place:
+    def __init__(self, host: str, port: int, name: str) -> None:
+        self.host = host
+        self.port = port
+        self.name = name
+
+    def run(
+        self, app: faults.App, *hooks: app_lib.Hook
+    ) -> standin_lib.StandinServer:
+        """Serve ``app`` until the process is asked to stop."""
+        server = standin_lib.StandinServer(app, host=self.host, port=self.port)
+        if isinstance(app, standin_lib.EngineStandin):
+            app.server = server.app
+        owner = app_lib.Application(name=self.name)
+        for hook in hooks:
+            owner.add(hook)
+        owner.add(
+            app_lib.Hook(name="http", start=server.start, stop=server.stop)
+        )
+        owner.run()
+        return server
+
+
+@standin.command()
+@click.option("--rate", default=100.0, help="Appends a second.")
+@click.option("--retention", default=86_400.0, help="Seconds.")
+@click.pass_obj
+def log(place: _Place, rate: float, retention: float) -> None:
+    """Run the platform's append-only log."""
+    place.run(standin_lib.LogStandin(rate=rate, retention_s=retention))
+
+
+@standin.command()
+@click.option("--lag", default=1.0, help="Seconds.")
+@click.pass_obj
+def hosts(place: _Place, lag: float) -> None:
+    """Run the platform's lagging host list."""
+    place.run(standin_lib.HostsStandin(lag_s=lag))
+
+
+@standin.command()
+@click.option("--rate", default=100.0, help="MiB a second.")
+@click.pass_obj
+def weights(place: _Place, rate: float) -> None:
+    """Run the platform's rate-limited weight store."""
+    place.run(standin_lib.WeightsStandin(bytes_a_s=rate * 1_048_576))
+
+
+@standin.command()
+@click.option("--step", default=0.005, help="Seconds a step.")
+@click.option("--batch", default=16, help="Sequences a step.")
+@click.option("--checks-orders/--no-checks-orders", default=True)
+@click.option("--traces/--no-traces", default=False)
+@click.pass_obj
+def engine(
+    place: _Place, step: float, batch: int, checks_orders: bool, traces: bool
+) -> None:
+    """Run a model engine."""
+    exporter = (
+        cfg.settings.Exporter.LOG if traces else cfg.settings.Exporter.NONE
+    )
+    tracer = observe.Tracer(cfg.settings.Traces(exporter=exporter), place.name)
+    app = standin_lib.EngineStandin(
+        speed=standin_lib.Speed(step_s=step),
+        max_batch=batch,
+        checks_orders=checks_orders,
+        tracer=tracer,
+    )
+    place.run(app, app_lib.Hook(name="steps", start=app.start, stop=app.stop))
+
+
+@standin.command()
+@click.option("--work", default=0.002, help="Seconds a request.")
+@click.pass_obj
+def service(place: _Place, work: float) -> None:
+    """Run a plain service that records what it ran."""
+    place.run(standin_lib.ServiceStandin(work_s=work))
--- /dev/null
+++ b/src/lugcross/demo/fleet.py
@@ -0,0 +1,243 @@
+# SPDX-License-Identifier: Apache-2.0
+"""A whole small fleet embedded in one process."""
+
+import dataclasses
+import hashlib
+import time
+from typing import final
+
+from lugcross import agent as agent_lib
+from lugcross import app as app_lib
+from lugcross import cfg
+from lugcross import clock as clock_lib
+from lugcross import entry as entry_lib
+from lugcross import errors
+from lugcross import rpc
+from lugcross import standin
+
+HOST = "127.0.0.1"
+MODEL = "small-moe"
+LEDGER = "ledger"
+DOMAINS = ("a", "b", "c")
+
+_ENTRIES = 2
+_ENGINES = 2
+_SLOTS = 4
+# Slow enough for one interpreter to carry the whole fleet: the queues
+# at the engines must be the bottleneck, as in a real one.
+_STEP_S = 0.03
+_THREADS = 32
+_POLL_S = 5.0
+_READY_S = 15.0
+_WAIT_S = 0.05
+_ANY_PORT = cfg.settings.Address(host=HOST, port=0)
+
+
+@final
+@dataclasses.dataclass(frozen=True)
+class Rival:
+    """One workspace group of the demo, with one workspace.
+
+    :param callers: requests that it keeps in progress.
+    """
+
+    name: str
+    share: float
+    callers: int
+    key: str
+
+    @property
+    def workspace(self) -> str:
+        """Name of its workspace."""
+        return f"{self.name}-desk"
+
+
+def rivals() -> tuple[Rival, ...]:
+    """Return the three groups that compete for the fleet."""
+    return (
+        Rival("north", 3.0, 40, cfg.new_key()),
+        Rival("south", 2.0, 32, cfg.new_key()),
+        Rival("greedy", 1.0, 48, cfg.new_key()),
+    )
+
+
+@final
+class Fleet:
+    """Platform, engines, agents and entry hosts of three domains."""
+
+    def __init__(self) -> None:
+        self.token = cfg.new_key()
+        self.rivals = rivals()
+        self._clock = clock_lib.SystemClock()
+        self._settings = _Shared(self.token)
+        self._standins: list[standin.StandinServer] = []
+        self._engines: list[standin.EngineStandin] = []
+        self._apps: list[app_lib.Application] = []
+        self.service = standin.ServiceStandin()
+        self.log = standin.LogStandin()
+        self.agents: list[agent_lib.Agent] = []
+        self.entries: list[entry_lib.Entry] = []
+
+    def start(self) -> None:
+        """Start everything and publish the configuration.
+
+        :raises errors.LugcrossError: when it does not come up.
+        """
+        self._settings.log = self._serve(self.log).url
+        self._settings.hosts = self._serve(standin.HostsStandin()).url
+        ledger = self._serve(self.service).url
+        for domain in DOMAINS:
+            self._start_domain(domain, ledger)
+        self._publish()
+        self._wait_ready()
+
+    def stop(self) -> None:
+        """Stop everything, callers' side first."""
+        for app in reversed(self._apps):
+            app.drain()
+            app.stop()
+        for engine in self._engines:
+            engine.stop()
+        for server in self._standins:
+            server.stop()
+
+    @property
+    def urls(self) -> list[str]:
+        """Base URL of each entry host."""
+        return [f"http://{HOST}:{entry.http_port}" for entry in self.entries]
+
+    @property
+    def rpc_target(self) -> str:
+        """Address of an entry host's RPC."""
+        return f"{HOST}:{self.entries[0].rpc.port}"
+
+    def client(self) -> rpc.OperatorClient:
+        """Return an operator's client; close it after use."""
+        return rpc.OperatorClient(self.rpc_target, self.token)
+
+    def _serve(self, app: standin.faults.App) -> standin.StandinServer:
+        server = standin.StandinServer(app, host=HOST, port=0)
+        server.start()
+        self._standins.append(server)
+        return server
+
+    def _start_domain(self, domain: str, ledger: str) -> None:
+        for num in range(_ENGINES):
+            engine = standin.EngineStandin(
+                speed=standin.Speed(step_s=_STEP_S), max_batch=_SLOTS
+            )
+            server = self._serve(engine)
+            engine.server = server.app
+            engine.start()
+            self._engines.append(engine)
+            self._start_agent(
+                domain, f"model-{domain}{num}", MODEL, server.url
+            )
+        self._start_agent(domain, f"plain-{domain}", LEDGER, ledger)
+        for num in range(_ENTRIES):
+            self._start_entry(domain, f"entry-{domain}{num}")
+
+    def _start_agent(
+        self, domain: str, name: str, service: str, url: str
+    ) -> None:
+        settings = self._settings.agent(domain, name, service, url)
+        agent = agent_lib.Agent(settings, clock=self._clock)
+        self._start(agent.application())
+        self.agents.append(agent)
+
+    def _start_entry(self, domain: str, name: str) -> None:
+        settings = self._settings.entry(domain, name)
+        entry = entry_lib.Entry(settings, clock=self._clock)
+        self._start(entry.application())
+        self.entries.append(entry)
+
+    def _start(self, app: app_lib.Application) -> None:
+        app.start()
+        self._apps.append(app)
+
+    def _publish(self) -> None:
+        client = self.client()
+        for obj in self._objects():
+            client.put(obj, expect=0)
+        client.close()
+
+    def _objects(self) -> list[cfg.Object]:
+        objects: list[cfg.Object] = [
+            cfg.Service(name=MODEL, type=cfg.ServiceType.MODEL),
+            cfg.Service(
+                name=LEDGER, type=cfg.ServiceType.PLAIN, repeatable=False
+            ),
+        ]
+        for rival in self.rivals:
+            objects.append(
+                cfg.WorkspaceGroup(name=rival.name, share=rival.share)
+            )
+            objects.append(
+                cfg.Workspace(
+                    name=rival.workspace,
+                    group=rival.name,
+                    key_hashes=(cfg.hash_key(rival.key),),
+                )
+            )
+        return objects + [agent.backend(_SLOTS) for agent in self.agents]
+
+    def _wait_ready(self) -> None:
+        until = time.monotonic() + _READY_S
+        while time.monotonic() < until:
+            waiting = [entry.unready() for entry in self.entries]
+            linked = all(
+                peer.link
+                for entry in self.entries
+                for peer in entry.upstream.peers()
+            )
+            if not any(waiting) and linked:
+                return
+            time.sleep(_WAIT_S)
+        raise errors.LugcrossError(
+            f"the demo's fleet did not come up in {_READY_S} s",
+            remedy="look at the log lines above",
+        )
+
+
+@final
+class _Shared:
+    """What the settings of all processes of the demo have in common."""
+
+    def __init__(self, token: str) -> None:
+        self.log = ""
+        self.hosts = ""
+        self._fleet = cfg.settings.Fleet(secret=cfg.new_key())
+        self._operator = cfg.settings.Operator(
+            name="demo",
+            role=cfg.settings.Role.EDITOR,
+            token_sha256=hashlib.sha256(token.encode()).hexdigest(),
+        )
+
+    def agent(
+        self, domain: str, name: str, service: str, url: str
+    ) -> cfg.settings.Agent:
+        return cfg.settings.Agent(
+            node=cfg.settings.Node(name=name, domain=domain),
+            fleet=self._fleet,
+            platform=self._platform(),
+            backend=name,
+            link=_ANY_PORT,
+            services={service: url},
+        )
+
+    def entry(self, domain: str, name: str) -> cfg.settings.Entry:
+        return cfg.settings.Entry(
+            node=cfg.settings.Node(name=name, domain=domain),
+            fleet=self._fleet,
+            platform=self._platform(),
+            http=_ANY_PORT,
+            rpc=_ANY_PORT,
+            operators=(self._operator,),
+            threads=_THREADS,
+            notice_s=0.1,
+        )
+
+    def _platform(self) -> cfg.settings.Platform:
+        return cfg.settings.Platform(
+            log=self.log, hosts=self.hosts, poll_s=_POLL_S
+        )
--- a/src/lugcross/entry/upstream.py
+++ b/src/lugcross/entry/upstream.py
@@ -192,9 +192,10 @@
 
     async def stop(self) -> None:
         """Close all links."""
+        tasks = list(self._tasks.values())
         for name in list(self._peers):
             self._drop(name)
-        await asyncio.sleep(0)
+        await asyncio.gather(*tasks, return_exceptions=True)
 
     def _number(self, call: Call) -> None:
         # A new number for each attempt: a late answer to an old one
--- a/src/lugcross/wire/link.py
+++ b/src/lugcross/wire/link.py
@@ -62,6 +62,8 @@
             self.closed = True
             sender.cancel()
             await asyncio.gather(sender, return_exceptions=True)
+            # The peer hears of it now and need not time out.
+            await self._ws.close()
 
     async def close(self) -> None:
         """Send what waits and close."""
