Prove "not run" by what arrived on a link, and test the decisions

Cause: the state machine over the agent's dispatcher found a false "not run": a reattach, more than 10 s after an answer had ended, met an agent that had forgotten the request and told the caller that it never arrived. A second fault: a link lost at monotonic time zero was never given up, because a zero duration counts as false. Change: links are numbered by the agent, a reattach names the link and the stream id of its dispatch, and the agent says "not run" only where that id is above every id that arrived on that link, which it then bars; all else is "unknown". Ruled out: remembering ids for a time (a frozen entry host outlasts any time), an age in the message (stale after a freeze). State for the proof: two numbers a link.

--- a/src/lugcross/agent/app.py
+++ b/src/lugcross/agent/app.py
@@ -62,7 +62,6 @@
             settings.services, self._emit, self._tracer
         )
         self._links: dict[exchange_lib.LinkId, wire.Link] = {}
-        self._numbers = itertools.count(1)
         self._reasons: dict[str, str] = {}
         self._idle = threading.Event()
         self._listener = wire.Listener(
@@ -134,7 +133,7 @@
         )
         self._loop.submit(self._tick_for_ever())
         self._post(self._adopt, self.store.config)
-        logging.info("listening", extra={"port": self.port})
+        logging.info("listening", extra={"what": "links", "port": self.port})
 
     def _drain(self) -> None:
         """Refuse new work as not run and wait for what runs."""
@@ -209,8 +208,9 @@
             self._send(link, wire.Leaving(reason=after))
 
     async def _accept(self, link: wire.Link, hello: wire.Hello) -> None:
-        link_id = exchange_lib.LinkId(next(self._numbers))
+        link_id = exchange_lib.LinkId(link.num)
         self._links[link_id] = link
+        self._dispatcher.on_link(link_id)
         self._metrics.incr("links.opened")
         if self._dispatcher.leaving:
             self._send(link, wire.Leaving(reason=self._dispatcher.leaving))
--- a/src/lugcross/agent/dispatcher.py
+++ b/src/lugcross/agent/dispatcher.py
@@ -9,6 +9,7 @@
 import functools
 from typing import final
 
+from lugcross.agent import arrivals
 from lugcross.agent import delivery
 from lugcross.agent import events
 from lugcross.agent import exchange as exchange_lib
@@ -22,8 +23,6 @@
 
 #: How long an exchange waits for its entry host after a lost link.
 LINGER = datetime.timedelta(seconds=10)
-#: How long a reattach of an unknown dispatch bars that dispatch.
-BARRED = datetime.timedelta(seconds=60)
 #: Answers kept for repeats under a key, in bytes of all together.
 KEPT_ANSWERS = 8 * 1_048_576
 
@@ -54,7 +53,7 @@
         self._incarnation = incarnation
         self._queue = shares.FairQueue(weight)
         self._exchanges: dict[str, exchange_lib.Exchange] = {}
-        self._barred: dict[str, clock_lib.Instant] = {}
+        self._arrivals = arrivals.Arrivals()
         self._kept: dict[str, exchange_lib.Exchange] = {}
         self._kept_bytes = 0
         self._running: dict[str, clock_lib.Instant] = {}
@@ -74,6 +73,10 @@
         _on_message(msg, self, link, now)
         return self._done()
 
+    def on_link(self, link: exchange_lib.LinkId) -> None:
+        """Take note of a new link."""
+        self._arrivals.open(link)
+
     def on_link_lost(
         self, link: exchange_lib.LinkId, now: clock_lib.Instant
     ) -> list[events.Action]:
@@ -107,9 +110,6 @@
             )
         for exchange in list(self._exchanges.values()):
             self._check_age(exchange, now)
-        self._barred = {
-            uid: until for uid, until in self._barred.items() if until > now
-        }
         for uid in self.once.expire(now):
             self._drop_kept(uid)
         return self._done()
@@ -144,7 +144,8 @@
         now: clock_lib.Instant,
     ) -> None:
         """Take a request, or refuse it with proof that it did not run."""
-        refusal = self._refusal(msg)
+        refusal = self._refusal(link, msg)
+        self._arrivals.note(link, msg.id)
         if refusal is not None:
             self._delivery.fail(link, msg.id, refusal)
             return
@@ -167,12 +168,13 @@
         now: clock_lib.Instant,
     ) -> None:
         """Go on with a dispatch whose link was lost."""
+        del now
         exchange = self._find(msg.uid)
         if exchange is None:
-            # The dispatch may still sit in a dead link's buffer: barred,
-            # so that "not run" stays true whatever arrives later.
-            self._barred[msg.uid] = now + BARRED
-            self._delivery.fail(link, msg.id, failures.NEVER_ARRIVED)
+            was_link = exchange_lib.LinkId(msg.was_link)
+            lost = self._arrivals.certainly_not(was_link, msg.was_id)
+            failure = failures.NEVER_ARRIVED if lost else failures.FORGOTTEN
+            self._delivery.fail(link, msg.id, failure)
             return
         if not exchange.has(msg.after):
             self._delivery.fail(link, msg.id, failures.ANSWER_GONE)
@@ -194,10 +196,14 @@
         """Send more to an entry host that took what it had."""
         self._delivery.credit(link, msg)
 
-    def _refusal(self, msg: wire.Dispatch) -> exchange_lib.Failure | None:
+    def _refusal(
+        self, link: exchange_lib.LinkId, msg: wire.Dispatch
+    ) -> exchange_lib.Failure | None:
         if msg.incarnation != self._incarnation:
             return failures.WRONG_INCARNATION
-        if msg.uid in self._barred or msg.uid in self._exchanges:
+        if self._arrivals.barred(link):
+            return failures.NEVER_ARRIVED
+        if msg.uid in self._exchanges:
             return failures.USED_TWICE
         finding = self.once.find(msg) if msg.once_key else once_lib.Finding.NEW
         if finding is once_lib.Finding.SAME:
@@ -328,7 +334,7 @@
     ) -> None:
         if exchange.state is exchange_lib.State.ENDED:
             self._forget_old(exchange, now)
-        elif exchange.alone_since and now - exchange.alone_since > LINGER:
+        elif self._left_alone(exchange, now):
             exchange.alone_since = now
             self._abandon(exchange, now)
         elif now > exchange.deadline:
@@ -336,6 +342,12 @@
                 self._actions.append(events.Abort(exchange.uid))
             self._end(exchange, now, failures.TOO_SLOW)
 
+    def _left_alone(
+        self, exchange: exchange_lib.Exchange, now: clock_lib.Instant
+    ) -> bool:
+        since = exchange.alone_since
+        return since is not None and now - since > LINGER
+
     def _forget_old(
         self, exchange: exchange_lib.Exchange, now: clock_lib.Instant
     ) -> None:
--- a/src/lugcross/agent/failures.py
+++ b/src/lugcross/agent/failures.py
@@ -32,7 +32,7 @@
 USED_TWICE = failure(
     errors.RefusalKind.LINK_LOST,
     errors.Outcome.UNKNOWN,
-    "this dispatch arrived before or was given up",
+    "this dispatch arrived before",
     "ask again only if running it twice does no harm",
 )
 NEVER_ARRIVED = failure(
@@ -41,6 +41,12 @@
     "the link was lost before the request arrived",
     "ask again; the request did not run",
 )
+FORGOTTEN = failure(
+    errors.RefusalKind.LINK_LOST,
+    errors.Outcome.UNKNOWN,
+    "the request arrived, and its answer is no longer kept",
+    "ask again only if running it twice does no harm",
+)
 ANSWER_GONE = failure(
     errors.RefusalKind.STREAM_BROKEN,
     errors.Outcome.RAN,
--- a/src/lugcross/cfg/compare.py
+++ b/src/lugcross/cfg/compare.py
@@ -25,6 +25,15 @@
 )
 
 
+_SECTIONS: dict[str, type[msgspec.Struct]] = {
+    "groups": model.WorkspaceGroup,
+    "workspaces": model.Workspace,
+    "services": model.Service,
+    "backends": model.BackendServer,
+    "model_groups": model.ModelGroup,
+}
+
+
 @final
 class WantedFile(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """What ``lugcross ctl apply`` reads: objects by kind."""
@@ -75,6 +84,7 @@
     """
     try:
         raw = yaml.safe_load(text) or {}
+        _check_known(raw)
         return msgspec.convert(raw, WantedFile)
     except (yaml.YAMLError, msgspec.ValidationError) as exc:
         raise errors.SettingsError(
@@ -109,6 +119,23 @@
     return puts + removals
 
 
+def _check_known(raw: dict[str, list[dict[str, Any]]]) -> None:
+    """Refuse fields that no object has.
+
+    Records of the log may carry fields of a newer version, so the
+    objects themselves take unknown fields; a file written by hand with
+    one is a mistake.
+    """
+    for key, cls in _SECTIONS.items():
+        known = {field.name for field in msgspec.structs.fields(cls)}
+        for num, fields in enumerate(raw.get(key) or ()):
+            unknown = set(fields) - known
+            if unknown:
+                raise msgspec.ValidationError(
+                    f"unknown field `{min(unknown)}` - at `$.{key}[{num}]`"
+                )
+
+
 def _place(item: tuple[model.Ref, object]) -> tuple[int, str]:
     ref = item[0]
     return _ORDER.index(ref.kind), ref.name
--- a/src/lugcross/entry/app.py
+++ b/src/lugcross/entry/app.py
@@ -191,7 +191,9 @@
             target=self._server.serve, name=f"{self._node}-http", daemon=True
         )
         self._served.start()
-        logging.info("listening", extra={"port": self.http_port})
+        logging.info(
+            "listening", extra={"what": "http", "port": self.http_port}
+        )
 
     def _drain(self) -> None:
         """Let the balancer notice, then finish what is held."""
--- a/src/lugcross/entry/upstream.py
+++ b/src/lugcross/entry/upstream.py
@@ -36,8 +36,10 @@
     def __init__(self, peer: "Peer", uid: str) -> None:
         self.peer = peer
         self.uid = uid
-        self.incarnation = ids.Incarnation("")
+        self.incarnation = peer.incarnation
+        self.link = peer.link
         self.id = ids.StreamId(0)
+        self.sent_id = ids.StreamId(0)
         self.closed = False
         self.inbox: queue.SimpleQueue[Heard] = queue.SimpleQueue()
 
@@ -154,8 +156,8 @@
     def open(self, peer: Peer, uid: str) -> Call:
         """Begin a call; :meth:`send` carries its dispatch."""
         call = Call(peer, uid)
-        call.incarnation = peer.incarnation
         self._number(call)
+        call.sent_id = call.id
         return call
 
     def send(self, call: Call, msg: wire.Dispatch) -> None:
@@ -165,7 +167,9 @@
         """
         call.peer.sent_since_load += 1
         try:
-            self._link(call).post(msg)
+            # On the link that the call was opened on and on no other:
+            # the agent tells by it whether the dispatch arrived.
+            _usable(call, call.link).post(msg)
         except errors.LinkDownError:
             self.close(call)
             raise
@@ -173,7 +177,7 @@
     def post(self, call: Call, msg: wire.Cancel | wire.Credit) -> None:
         """Send what may be lost with the link."""
         try:
-            self._link(call).post(msg)
+            _usable(call, call.peer.link).post(msg)
         except errors.LinkDownError:
             logging.debug("link went down")
 
@@ -203,15 +207,6 @@
         call.id = ids.StreamId(next(self._numbers))
         call.peer.calls[call.id] = call
 
-    def _link(self, call: Call) -> wire.Link:
-        link = call.peer.link
-        if link is None:
-            raise errors.LinkDownError(
-                f"no link to {call.peer.name} ({call.peer.why_down})",
-                remedy="send to another backend server",
-            )
-        return link
-
     def _add(self, peer: Peer) -> None:
         self._peers[peer.name] = peer
         self._tasks[peer.name] = asyncio.get_running_loop().create_task(
@@ -285,7 +280,12 @@
             return
         self._number(call)
         msg = wire.Reattach(
-            id=call.id, uid=call.uid, after=after, credit=credit
+            id=call.id,
+            uid=call.uid,
+            after=after,
+            credit=credit,
+            was_link=call.link.num if call.link else 0,
+            was_id=call.sent_id,
         )
         try:
             peer.link.post(msg)
@@ -293,5 +293,14 @@
             call.inbox.put(lifecycle.LinkLost())
 
 
+def _usable(call: Call, link: wire.Link | None) -> wire.Link:
+    if link is None:
+        raise errors.LinkDownError(
+            f"no link to {call.peer.name} ({call.peer.why_down})",
+            remedy="send to another backend server",
+        )
+    return link
+
+
 def _place(backend: cfg.BackendServer) -> tuple[str, int]:
     return backend.host, backend.port
--- a/src/lugcross/observe/logs.py
+++ b/src/lugcross/observe/logs.py
@@ -6,6 +6,7 @@
 from typing import Any
 from typing import final
 
+from absl import flags
 from absl import logging
 
 _STANDARD = frozenset(vars(std_logging.makeLogRecord({}))) | {"message"}
@@ -41,6 +42,9 @@
 
     :param level: ``debug``, ``info``, ``warning`` or ``error``.
     """
+    # Settings come from YAML, not from absl's flags; unparsed flags
+    # would put a line that is not JSON before the first.
+    flags.FLAGS.mark_as_parsed()
     handler = logging.get_absl_handler()
     handler.setFormatter(JsonFormatter(node))
     logging.use_absl_handler()
--- a/src/lugcross/rpc/servicer.py
+++ b/src/lugcross/rpc/servicer.py
@@ -5,6 +5,7 @@
 from concurrent import futures
 from typing import final
 
+from absl import logging
 import grpc
 
 from lugcross import cfg
@@ -204,6 +205,7 @@
             f"{self._address.host}:{self._address.port}"
         )
         self._server.start()
+        logging.info("listening", extra={"what": "rpc", "port": self.port})
 
     def stop(self) -> None:
         """Finish the calls in progress and stop."""
--- a/src/lugcross/standin/faults.py
+++ b/src/lugcross/standin/faults.py
@@ -139,7 +139,8 @@
         """Listen and serve."""
         self._server.prepare()
         self._thread.start()
-        logging.info("listening", extra={"port": self._server.bind_addr[1]})
+        port = self._server.bind_addr[1]
+        logging.info("listening", extra={"what": "http", "port": port})
 
     def stop(self) -> None:
         """Stop serving."""
--- a/src/lugcross/wire/handshake.py
+++ b/src/lugcross/wire/handshake.py
@@ -57,6 +57,8 @@
         hello: messages.Message,
         backend: ids.BackendName,
         incarnation: ids.Incarnation,
+        *,
+        link: int,
     ) -> messages.Welcome:
         """Agent: check the entry host's proof and give its own."""
         if not isinstance(hello, messages.Hello):
@@ -69,6 +71,7 @@
             backend=backend,
             incarnation=incarnation,
             proof=self._proof(_AS_AGENT, hello.nonce, backend),
+            link=link,
         )
 
     def check(self, welcome: messages.Message) -> messages.Welcome:
--- a/src/lugcross/wire/link.py
+++ b/src/lugcross/wire/link.py
@@ -26,9 +26,11 @@
     """Sends from any thread; messages that wait share one frame.
 
     :param ws: an open connection on which the handshake is done.
+    :param num: given by the agent, never twice by one incarnation.
     """
 
-    def __init__(self, ws: ws_connection.Connection) -> None:
+    def __init__(self, ws: ws_connection.Connection, *, num: int) -> None:
+        self.num = num
         self._ws = ws
         self._loop = asyncio.get_running_loop()
         self._out: collections.deque[messages.Message] = collections.deque()
--- a/src/lugcross/wire/messages.py
+++ b/src/lugcross/wire/messages.py
@@ -41,11 +41,16 @@
 
 @final
 class Welcome(_Message, frozen=True, tag=3):
-    """Agent to entry host: who it is, and proof of the secret."""
+    """Agent to entry host: who it is, and proof of the secret.
+
+    :param link: number of this link, never given twice by one
+        incarnation of the agent.
+    """
 
     backend: ids.BackendName
     incarnation: ids.Incarnation
     proof: bytes
+    link: int = 0
 
 
 @final
@@ -87,12 +92,16 @@
     """Entry host to agent: go on with a dispatch after a lost link.
 
     :param after: events that the entry host already has.
+    :param was_link: link that carried the dispatch.
+    :param was_id: stream id of the dispatch on that link.
     """
 
     id: ids.StreamId
     uid: str
     after: int
     credit: int
+    was_link: int
+    was_id: ids.StreamId
 
 
 @final
--- a/src/lugcross/wire/open.py
+++ b/src/lugcross/wire/open.py
@@ -4,6 +4,7 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+import itertools
 from typing import final
 
 from absl import logging
@@ -61,7 +62,7 @@
             f"no link to {host}:{port} ({exc or type(exc).__name__})",
             remedy="check that the agent runs there",
         ) from exc
-    return link_lib.Link(ws), welcome
+    return link_lib.Link(ws, num=welcome.link), welcome
 
 
 @final
@@ -84,6 +85,7 @@
         self._backend = backend
         self._incarnation = incarnation
         self._server: ws_server.Server | None = None
+        self._numbers = itertools.count(1)
 
     async def start(self, host: str, port: int) -> int:
         """Listen, and return the port in use."""
@@ -107,22 +109,27 @@
             await self._server.wait_closed()
 
     async def _handle(self, ws: ws_server.ServerConnection) -> None:
+        num = next(self._numbers)
         try:
             async with asyncio.timeout(_HANDSHAKE_S):
-                hello = await self._shake(ws)
+                hello = await self._shake(ws, num)
         except (TimeoutError, errors.WireError) as exc:
             logging.warning("link refused", extra={"why": str(exc)})
             await ws.close(_CLOSE_REFUSED, "refused")
             return
         except ws_exceptions.ConnectionClosed:
             return
-        await self._accept(link_lib.Link(ws), hello)
+        await self._accept(link_lib.Link(ws, num=num), hello)
 
-    async def _shake(self, ws: ws_server.ServerConnection) -> messages.Hello:
+    async def _shake(
+        self, ws: ws_server.ServerConnection, num: int
+    ) -> messages.Hello:
         shake = handshake.Handshake(self._secret)
         await ws.send(codec.encode([shake.challenge()]))
         hello = await _receive_one(ws)
-        welcome = shake.welcome(hello, self._backend, self._incarnation)
+        welcome = shake.welcome(
+            hello, self._backend, self._incarnation, link=num
+        )
         await ws.send(codec.encode([welcome]))
         assert isinstance(hello, messages.Hello)
         return hello
--- /dev/null
+++ b/testing/routing/test_routing.py
@@ -0,0 +1,111 @@
+# SPDX-License-Identifier: Apache-2.0
+"""Choice, subsets, rendezvous hashing and the retry budget."""
+
+import collections
+import random
+
+from lugcross import cfg
+from lugcross import ids
+from lugcross import membership
+from lugcross import routing
+
+NEAR = ids.DomainName("near")
+FAR = ids.DomainName("far")
+
+
+def candidate(
+    name: str, busy: int = 0, *, domain: str = "near", usable: bool = True
+) -> routing.Candidate:
+    return routing.Candidate(
+        name=ids.BackendName(name),
+        domain=ids.DomainName(domain),
+        usable=usable,
+        busy=busy,
+        sent=0,
+        capacity=4,
+    )
+
+
+def choose(
+    *candidates: routing.Candidate, tried: tuple[str, ...] = ()
+) -> str | None:
+    choice = routing.choose(
+        candidates,
+        home=NEAR,
+        tried=[ids.BackendName(name) for name in tried],
+        rng=random.Random(1),
+    )
+    return choice.best.name if choice else None
+
+
+def test_less_loaded_of_two_is_chosen() -> None:
+    assert choose(candidate("a", 3), candidate("b", 1)) == "b"
+
+
+def test_unusable_and_tried_ones_are_left_out() -> None:
+    found = choose(
+        candidate("a", usable=False),
+        candidate("b"),
+        candidate("c", 9),
+        tried=("b",),
+    )
+    assert found == "c"
+    assert choose(candidate("a", usable=False)) is None
+
+
+def test_own_domain_is_left_only_when_that_saves_enough() -> None:
+    far = candidate("f", domain="far")
+    assert choose(candidate("n", 1), far) == "n"
+    assert choose(candidate("n", 4), far) == "f"
+
+
+def backend(name: str, domain: str) -> cfg.BackendServer:
+    return cfg.BackendServer(
+        name=name, domain=domain, host="127.0.0.1", port=1
+    )
+
+
+def links(
+    node: str, backends: list[cfg.BackendServer], count: int
+) -> set[str]:
+    chosen = membership.subset(ids.NodeName(node), NEAR, backends, links=count)
+    assert len(chosen) == min(count, len(backends))
+    return {one.name for one in chosen}
+
+
+def test_subsets_cover_all_evenly_and_move_little() -> None:
+    backends = [backend(f"n{num}", "near") for num in range(60)]
+    backends += [backend(f"f{num}", "far") for num in range(40)]
+    chosen = {f"e{n}": links(f"e{n}", backends, 24) for n in range(40)}
+    counts = collections.Counter(
+        name for names in chosen.values() for name in names
+    )
+    assert set(counts) == {one.name for one in backends}
+    fewer = backends[1:]
+    for node, before in chosen.items():
+        moved = links(node, fewer, 24) - before
+        assert len(moved) <= 1
+
+
+def test_subset_takes_what_there_is_when_one_side_is_small() -> None:
+    near = [backend(f"n{num}", "near") for num in range(30)]
+    far = [backend("f0", "far")]
+    assert "f0" in links("e", near + far, 24)
+
+
+def test_key_moves_only_when_its_own_home_goes() -> None:
+    names = [ids.BackendName(f"b{num}") for num in range(20)]
+    for num in range(200):
+        home = routing.first(f"key{num}", names)
+        others = [n for n in names if n != "b7"]
+        after = routing.first(f"key{num}", others)
+        assert after == home or home == "b7"
+
+
+def test_retries_stay_a_part_of_the_requests() -> None:
+    budget = routing.RetryBudget(ratio=0.1, saved=5.0)
+    spent = 0
+    for _ in range(1000):
+        budget.earn()
+        spent += budget.spend()
+    assert spent <= 105
--- /dev/null
+++ b/testing/test_processes.py
@@ -0,0 +1,166 @@
+# SPDX-License-Identifier: Apache-2.0
+"""Entry hosts, agents and stand-ins as real processes."""
+
+from collections.abc import Iterator
+import concurrent.futures
+import json
+import pathlib
+import signal
+
+import pytest
+
+from lugcross import demo
+from lugcross.demo import calls
+from lugcross.demo import fleet as demo_fleet
+import procs
+
+
+@pytest.fixture(scope="module")
+def fleet(
+    tmp_path_factory: pytest.TempPathFactory,
+) -> Iterator[procs.Fleet]:
+    """Two failure domains, started once for this file."""
+    folder = tmp_path_factory.mktemp("fleet")
+    running = procs.Fleet(folder, domains=2, traces=True)
+    try:
+        yield running.start()
+    finally:
+        running.stop()
+
+
+@pytest.fixture
+def sender(fleet: procs.Fleet, monkeypatch: pytest.MonkeyPatch) -> demo.Sender:
+    """A caller with the fleet's workspace key."""
+    monkeypatch.setattr(demo_fleet, "MODEL", procs.MODEL)
+    monkeypatch.setattr(demo_fleet, "LEDGER", procs.LEDGER)
+    return calls.Sender(fleet.key)
+
+
+@pytest.mark.parametrize("stream", [True, False], ids=["stream", "whole"])
+def test_completion_is_whole_and_its_own(
+    fleet: procs.Fleet, sender: demo.Sender, stream: bool
+) -> None:
+    results = [
+        sender.complete(url, f"prompt {url}", tokens=8, stream=stream)
+        for url in fleet.urls()
+    ]
+    assert all(result.whole for result in results)
+
+
+def test_many_streams_share_one_link_without_mixing(
+    fleet: procs.Fleet, sender: demo.Sender
+) -> None:
+    with concurrent.futures.ThreadPoolExecutor(24) as pool:
+        results = pool.map(
+            lambda num: sender.complete(
+                fleet.urls()[0], f"caller {num}", tokens=10, stream=True
+            ),
+            range(48),
+        )
+    assert [result.whole for result in results] == [True] * 48
+
+
+def test_repeat_under_one_key_at_another_entry_runs_once(
+    fleet: procs.Fleet, sender: demo.Sender
+) -> None:
+    results = [sender.charge(url, b"{}", key="twice") for url in fleet.urls()]
+    assert results[0].body == results[1].body
+    assert fleet.ran()["twice"] == 1
+
+
+def test_spans_of_a_request_form_one_trace(
+    fleet: procs.Fleet, sender: demo.Sender
+) -> None:
+    sender.complete(fleet.urls()[0], "trace me", tokens=2, stream=True)
+    hops = {"entry.request", "agent.run", "engine.complete"}
+    procs.wait_until(lambda: hops in _traces(fleet), what="a whole trace")
+
+
+def test_sigterm_to_an_entry_lets_its_stream_end_whole(
+    fleet: procs.Fleet, sender: demo.Sender
+) -> None:
+    name = next(iter(fleet.entries))
+    entry = fleet.entries[name]
+    url = fleet.url(name)
+    with concurrent.futures.ThreadPoolExecutor(1) as pool:
+        fut = pool.submit(
+            sender.complete, url, "long", tokens=150, stream=True
+        )
+        procs.wait_until(
+            lambda: _inflight(fleet, name) == 1, what="request in progress"
+        )
+        entry.signal(signal.SIGTERM)
+        entry.wait_line("signal")
+        ready = fleet.http.request("GET", f"{url}/readyz")
+        assert ready.status == 503
+        assert fut.result().whole
+    assert entry.wait() == 0
+    fleet.entries[name] = entry.start("http", "rpc")
+    fleet.wait_linked()
+
+
+def test_sigterm_to_an_agent_lets_its_stream_end_whole(
+    fleet: procs.Fleet, sender: demo.Sender
+) -> None:
+    url = fleet.urls()[0]
+    with concurrent.futures.ThreadPoolExecutor(8) as pool:
+        futs = [
+            pool.submit(
+                sender.complete, url, f"long {num}", tokens=150, stream=True
+            )
+            for num in range(8)
+        ]
+        name = next(iter(fleet.entries))
+        procs.wait_until(
+            lambda: _inflight(fleet, name) == 8, what="requests in progress"
+        )
+        agent = fleet.agents["model-d0-0"]
+        agent.signal(signal.SIGTERM)
+        after = sender.complete(url, "after", tokens=2, stream=False)
+        assert all(fut.result().whole for fut in futs)
+    assert after.whole
+    assert agent.wait() == 0
+    agent.start("links")
+    fleet.wait_linked()
+
+
+def test_log_lines_are_json_with_the_node_in_each(
+    fleet: procs.Fleet,
+) -> None:
+    for name, process in fleet.entries.items():
+        assert process.log
+        assert {line["node"] for line in process.log} == {name}
+        assert json.dumps(process.log[0])
+
+
+def test_settings_file_that_a_daemon_cannot_use_names_the_remedy(
+    tmp_path: pathlib.Path,
+) -> None:
+    path = tmp_path / "entry.yaml"
+    path.write_text("program: entry\nnode: {name: e, domain: a, rack: 1}\n")
+    process = procs.Process("bad", ["check", str(path)])
+    process.start()
+    assert process.wait() == 1
+    text = process.next_line(5)["text"]
+    assert str(path) in text
+    assert "$.node" in text and "rack" in text
+    assert "fields are" in text
+
+
+def _traces(fleet: procs.Fleet) -> list[set[str]]:
+    """Return the names of the spans of each trace in the logs."""
+    traces: dict[str, set[str]] = {}
+    for process in (
+        *fleet.entries.values(),
+        *fleet.agents.values(),
+        *fleet.standins.values(),
+    ):
+        for line in list(process.log):
+            if line["message"] == "span":
+                traces.setdefault(line["trace_id"], set()).add(line["span"])
+    return list(traces.values())
+
+
+def _inflight(fleet: procs.Fleet, entry: str) -> int:
+    with fleet.operator(entry) as client:
+        return client.status().inflight
--- /dev/null
+++ b/testing/wire/test_codec.py
@@ -0,0 +1,60 @@
+# SPDX-License-Identifier: Apache-2.0
+"""Frames: whatever arrives is either messages or one kind of error."""
+
+import cbor2
+import hypothesis
+from hypothesis import strategies as st
+import pytest
+
+from lugcross import errors
+from lugcross import wire
+
+
+@hypothesis.given(
+    st.lists(
+        st.one_of(
+            st.builds(
+                wire.Chunk,
+                id=st.integers(0, 2**40),
+                seq=st.integers(0, 2**40),
+                events=st.lists(st.binary(max_size=20)).map(tuple),
+            ),
+            st.builds(wire.Leaving, reason=st.text(max_size=20)),
+            st.builds(
+                wire.Fail,
+                id=st.integers(0, 9),
+                kind=st.sampled_from(errors.RefusalKind),
+                outcome=st.sampled_from(errors.Outcome),
+                what=st.text(max_size=9),
+                remedy=st.text(max_size=9),
+            ),
+        ),
+        max_size=5,
+    )
+)
+def test_frame_comes_back_as_it_went(batch: list[wire.Message]) -> None:
+    assert wire.decode(wire.encode(batch)) == batch
+
+
+@hypothesis.given(st.binary(max_size=200))
+@hypothesis.example(b"\x81" * 100_000)
+@hypothesis.example(b"\xbf" * 5_000)
+@hypothesis.example(b"\x9a\xff\xff\xff\xff")
+@hypothesis.example(b"\x5b\xff\xff\xff\xff\xff\xff\xff\xff")
+def test_any_bytes_give_messages_or_a_frame_error(frame: bytes) -> None:
+    try:
+        wire.decode(frame)
+    except errors.FrameError:
+        pass
+
+
+def test_frame_of_too_many_messages_is_refused() -> None:
+    batch = [wire.Leaving(reason="")] * (wire.MAX_MESSAGES + 1)
+    with pytest.raises(errors.FrameError):
+        wire.decode(wire.encode(batch))
+
+
+def test_field_added_by_a_newer_peer_is_ignored() -> None:
+    (array,) = cbor2.loads(wire.encode([wire.Leaving(reason="stop")]))
+    newer = cbor2.dumps([[*array, "a field of tomorrow"]])
+    assert wire.decode(newer) == [wire.Leaving(reason="stop")]
