--- /dev/null
+++ b/bench/overhead.py
@@ -0,0 +1,146 @@
+# SPDX-License-Identifier: Apache-2.0
+"""What entry host and agent add to calling the engine directly.
+
+``python bench/overhead.py --json``. Both ways are measured in turn in
+one run, so that the machine's drift hits both alike.
+"""
+
+import concurrent.futures
+import json
+import pathlib
+import tempfile
+import threading
+import time
+from typing import Any
+
+import click
+import urllib3
+
+import procs
+import slopes
+
+_TOKENS = 40
+_ROUNDS = 60
+_MILLI = 1000.0
+
+
+def _stream(
+    pool: urllib3.PoolManager, url: str, key: str, prompt: str, tokens: int
+) -> list[float]:
+    """Return when each token came, in seconds from the start."""
+    body = json.dumps(
+        {
+            "model": procs.MODEL,
+            "prompt": prompt,
+            "max_tokens": tokens,
+            "stream": True,
+        }
+    )
+    began = time.perf_counter()
+    resp = pool.request(
+        "POST",
+        f"{url}/v1/completions",
+        body=body,
+        headers={
+            "Authorization": f"Bearer {key}",
+            "Content-Type": "application/json",
+        },
+        preload_content=False,
+    )
+    times = []
+    for data in resp.stream():
+        now = time.perf_counter() - began
+        times += [now] * data.count(b"data: {")
+    assert len(times) == tokens, (len(times), resp.status)
+    return times
+
+
+def _latencies(fleet: procs.Fleet) -> dict[str, Any]:
+    ways = {
+        "direct": fleet.standin_url("engine-d0-0"),
+        "through": fleet.urls()[0],
+    }
+    first: dict[str, list[float]] = {name: [] for name in ways}
+    between: dict[str, list[float]] = {name: [] for name in ways}
+    for num in range(_ROUNDS):
+        for name, url in ways.items():
+            times = _stream(fleet.http, url, fleet.key, f"p{num}", _TOKENS)
+            first[name].append(times[0] * _MILLI)
+            between[name] += [
+                (b - a) * _MILLI
+                for a, b in zip(times, times[1:], strict=False)
+            ]
+    found: dict[str, Any] = {}
+    for what, samples in (("first_ms", first), ("token_ms", between)):
+        for name, values in samples.items():
+            found[f"{what}_{name}"] = {
+                "median": slopes.percentile(values, 0.5),
+                "p99": slopes.percentile(values, 0.99),
+            }
+        medians = [found[f"{what}_{name}"]["median"] for name in ways]
+        found[f"{what}_added_median"] = medians[1] - medians[0]
+        found[f"{what}_ratio_median"] = medians[1] / medians[0]
+    return found
+
+
+def _capacity(fleet: procs.Fleet, callers: int, seconds: float) -> Any:
+    """Requests and tokens a second of processor time of each role."""
+    url = fleet.urls()[0]
+    stop = threading.Event()
+    counts = []
+
+    def call_on(num: int) -> int:
+        count = 0
+        while not stop.is_set():
+            _stream(fleet.http, url, fleet.key, f"c{num}-{count}", _TOKENS)
+            count += 1
+        return count
+
+    entry = next(iter(fleet.entries.values()))
+    agents = [p for n, p in fleet.agents.items() if n.startswith("model")]
+    before = entry.cpu_s(), sum(a.cpu_s() for a in agents)
+    began = time.perf_counter()
+    with concurrent.futures.ThreadPoolExecutor(callers) as pool:
+        futs = [pool.submit(call_on, num) for num in range(callers)]
+        time.sleep(seconds)
+        stop.set()
+        counts = [fut.result() for fut in futs]
+    took = time.perf_counter() - began
+    requests = sum(counts)
+    entry_s = entry.cpu_s() - before[0]
+    agents_s = sum(a.cpu_s() for a in agents) - before[1]
+    return {
+        "callers": callers,
+        "requests_a_s": requests / took,
+        "tokens_a_s": requests * _TOKENS / took,
+        "entry_core_share": entry_s / took,
+        "requests_a_s_a_core_of_entry": requests / entry_s,
+        "tokens_a_s_a_core_of_entry": requests * _TOKENS / entry_s,
+        "tokens_a_s_a_core_of_agent": requests * _TOKENS / agents_s,
+        "entry_rss_mb": entry.rss() / 1e6,
+    }
+
+
+@click.command()
+@click.option("--json", "as_json", is_flag=True)
+@click.option("--callers", default=48, show_default=True)
+@click.option("--seconds", default=10.0, show_default=True)
+def main(as_json: bool, callers: int, seconds: float) -> None:
+    """Measure latency added, and capacity of one entry host."""
+    with tempfile.TemporaryDirectory() as folder:
+        fleet = procs.Fleet(
+            pathlib.Path(folder), engines=3, capacity=32, step_s=0.01
+        )
+        try:
+            fleet.start()
+            found = {
+                "latency": _latencies(fleet),
+                "capacity": _capacity(fleet, callers, seconds),
+            }
+        finally:
+            fleet.stop()
+    click.echo(json.dumps(found, indent=None if as_json else 2))
+
+
+if __name__ == "__main__":
+    main()
--- a/bench/procs.py
+++ b/bench/procs.py
@@ -120,6 +120,12 @@
         fields = stat.rpartition(")")[2].split()
         return (int(fields[11]) + int(fields[12])) / _TICKS
 
+    def threads_cpu_s(self) -> float:
+        """Return the time of the threads that live now, finely."""
+        tasks = pathlib.Path(f"/proc/{self.pid}/task").iterdir()
+        stats = [(task / "schedstat").read_text() for task in tasks]
+        return sum(int(text.split()[0]) for text in stats) / 1e9
+
     def rss(self) -> int:
         """Return its memory now, in bytes."""
         statm = pathlib.Path(f"/proc/{self.pid}/statm").read_text()
--- a/src/lugcross/agent/app.py
+++ b/src/lugcross/agent/app.py
@@ -4,7 +4,7 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Sequence
-import itertools
+import contextlib
 import threading
 from typing import final
 from typing import NamedTuple
@@ -26,7 +26,11 @@
 from lugcross import wire
 
 _TICK_S = 0.05
-_LOAD_EVERY_TICKS = 10
+#: Time between two ticks while there is nothing to give up.
+_IDLE_TICK_S = 0.5
+#: Load is told when it changed, or as a heartbeat.
+_LOAD_EVERY = clock_lib.seconds(0.5)
+_HEARTBEAT_EVERY = clock_lib.seconds(5)
 _HOSTS_EVERY_S = 2.0
 _CALL_S = 5.0
 _UNKNOWN_GROUP_SHARE = 1.0
@@ -64,6 +68,9 @@
         self._links: dict[exchange_lib.LinkId, wire.Link] = {}
         self._reasons: dict[str, str] = {}
         self._idle = threading.Event()
+        self._work_came = asyncio.Event()
+        self._told: wire.Load | None = None
+        self._told_at: clock_lib.Instant | None = None
         self._listener = wire.Listener(
             self._accept,
             secret=settings.fleet.secret,
@@ -233,6 +240,7 @@
         self, link_id: exchange_lib.LinkId, msg: wire.Message
     ) -> None:
         now = self._clock.monotonic()
+        self._work_came.set()
         self._act(self._dispatcher.on_message(link_id, msg, now))
 
     def _on_news(self, news: _News) -> None:
@@ -240,15 +248,35 @@
         self._act(self._dispatcher.on_runner(news.uid, news.event, now))
 
     async def _tick_for_ever(self) -> None:
-        for count in itertools.count():
-            self._act(self._dispatcher.on_tick(self._clock.monotonic()))
-            if self._dispatcher.leaving and self._dispatcher.idle:
+        while True:
+            now = self._clock.monotonic()
+            self._act(self._dispatcher.on_tick(now))
+            idle = self._dispatcher.idle
+            if self._dispatcher.leaving and idle:
                 self._idle.set()
-            if count % _LOAD_EVERY_TICKS == 0:
-                load = self._dispatcher.load()
-                for link in self._links.values():
-                    self._send(link, load)
-            await asyncio.sleep(_TICK_S)
+            self._tell_load(now)
+            self._work_came.clear()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(_IDLE_TICK_S if idle else _TICK_S):
+                    await self._nap(idle)
+
+    async def _nap(self, idle: bool) -> None:
+        """Sleep until the next tick, or until work ends idleness."""
+        if idle:
+            await self._work_came.wait()
+        await asyncio.sleep(_TICK_S)
+
+    def _tell_load(self, now: clock_lib.Instant) -> None:
+        """Tell all entry hosts the load, as seldom as will do."""
+        load = self._dispatcher.load()
+        same = load == self._told
+        every = _HEARTBEAT_EVERY if same else _LOAD_EVERY
+        if self._told_at is not None and now - self._told_at < every:
+            return
+        self._told = load
+        self._told_at = now
+        for link in self._links.values():
+            self._send(link, load)
 
     def _act(self, actions: list[events.Action]) -> None:
         for action in actions:
--- a/src/lugcross/wire/codec.py
+++ b/src/lugcross/wire/codec.py
@@ -17,6 +17,12 @@
 _KEPT = (bytes,)
 
 
+class _Frame(msgspec.Struct, frozen=True, array_like=True):
+    """Holds the type of a frame: msgspec then prepares it only once."""
+
+    batch: list[messages.Message]
+
+
 def encode(batch: Sequence[messages.Message]) -> bytes:
     """Return one frame that carries ``batch`` in order."""
     return cbor2.dumps(msgspec.to_builtins(batch, builtin_types=_KEPT))
@@ -29,8 +35,8 @@
     """
     try:
         batch = msgspec.convert(
-            cbor2.loads(frame), list[messages.Message], builtin_types=_KEPT
-        )
+            [cbor2.loads(frame)], _Frame, builtin_types=_KEPT
+        ).batch
     except (cbor2.CBORDecodeError, msgspec.ValidationError) as exc:
         raise errors.FrameError(
             f"malformed frame ({exc})",
