Prove the callers' promises with real processes

Cause: no test yet produced the failures of the promises with processes. Two faults came up: a stream whose two replicas both closed early was given up though either could go on, and a keyed request whose agent could not reach its service was told as unknown, because it had then been sent to an agent that could never hold its claim.

--- a/bench/procs.py
+++ b/bench/procs.py
@@ -25,6 +25,7 @@
 import relay
 
 from lugcross import cfg
+from lugcross import platform
 from lugcross import rpc
 from lugcross import standin
 from lugcross import wire
@@ -183,6 +184,7 @@
         traces: bool = False,
         threads: int = 64,
         relays: bool = False,
+        grace_s: float = 20.0,
         resumable: bool = False,
     ) -> None:
         self._folder = folder
@@ -194,6 +196,7 @@
         self._notice_s = notice_s
         self._traces = traces
         self._threads = threads
+        self._grace_s = grace_s
         self._resumable = resumable
         self._relay_loop = wire.LoopThread(name="relays") if relays else None
         if self._relay_loop:
@@ -202,6 +205,11 @@
         self.key = cfg.new_key()
         self.timeout_s = 60.0
         self.http = urllib3.PoolManager(retries=False, maxsize=128)
+        # Switches may be set twice without harm, so these calls are
+        # repeated where a kept connection was closed meanwhile.
+        self.control = urllib3.PoolManager(
+            retries=urllib3.Retry(5, allowed_methods=None), maxsize=64
+        )
         self.standins: dict[str, Process] = {}
         self.agents: dict[str, Process] = {}
         self.entries: dict[str, Process] = {}
@@ -260,11 +268,20 @@
         finally:
             client.close()
 
+    def host(self, name: str, state: platform.HostState) -> None:
+        """Let the platform's list show a host's state, after its lag."""
+        host = platform.Host(name=name, domain="", state=state)
+        self.control.request(
+            "POST",
+            f"{self.standin_url('hosts')}/hosts",
+            body=msgspec.json.encode(host),
+        )
+
     def faults(self, name: str, **switches: Any) -> None:
         """Set the switches of a stand-in; others go back to normal."""
         body = msgspec.json.encode(standin.Faults(**switches))
         url = f"{self.standin_url(name)}{standin.FAULTS_PATH}"
-        self.http.request("POST", url, body=body)
+        self.control.request("POST", url, body=body)
 
     def ran(self) -> dict[str, int]:
         """Return how often the plain service ran each request."""
@@ -278,9 +295,13 @@
                 counts.update(self._ran_of(name))
         return counts
 
+    def model_ran_at(self, engine: str) -> int:
+        """Return how many requests one engine ran."""
+        return sum(self._ran_of(engine).values())
+
     def _ran_of(self, name: str) -> dict[str, int]:
         url = f"{self.standin_url(name)}{standin.RAN_PATH}"
-        counts: dict[str, int] = self.http.request("GET", url).json()
+        counts: dict[str, int] = self.control.request("GET", url).json()
         return counts
 
     def publish(self, objects: list[cfg.Object]) -> None:
@@ -414,5 +435,5 @@
             "observe": cfg.settings.Observe(
                 traces=cfg.settings.Traces(exporter=exporter)
             ),
-            "grace_s": 20.0,
+            "grace_s": self._grace_s,
         }
--- a/src/lugcross/entry/caller.py
+++ b/src/lugcross/entry/caller.py
@@ -180,6 +180,7 @@
         self._tried: set[ids.BackendName] = set()
         self._call: upstream_lib.Call | None = None
         self._given = 0
+        self._last: ids.BackendName | None = None
 
     def parts(self) -> Generator[Part]:
         finished = False
@@ -238,10 +239,11 @@
         if holder is not None:
             peer = self._caller.upstream.peer(holder)
         else:
-            peer = self._caller.choose(self._req, self._tried)
+            peer = self._choose(otherwise)
         if peer is None:
             self._refuse(otherwise, rule="no other backend server is usable")
         self._tried.add(peer.name)
+        self._last = peer.name
         upstream = self._caller.upstream
         self._call = upstream.open(peer, ids.new_token())
         try:
@@ -250,6 +252,18 @@
             return lifecycle.Unsent()
         return lifecycle.Sent()
 
+    def _choose(
+        self, otherwise: errors.RequestError
+    ) -> upstream_lib.Peer | None:
+        peer = self._caller.choose(self._req, self._tried)
+        refused = otherwise.outcome is errors.Outcome.NOT_RUN
+        if peer is not None or refused or not self._last:
+            return peer
+        # All have been tried, and this one failed rather than refused:
+        # the others may work again.
+        self._tried = {self._last}
+        return self._caller.choose(self._req, self._tried)
+
     def _next(self) -> lifecycle.Event:
         assert self._call is not None
         while True:
--- a/src/lugcross/entry/lifecycle.py
+++ b/src/lugcross/entry/lifecycle.py
@@ -286,6 +286,9 @@
         return _again(state, error, costs=False, holder=holder)
     if event.kind in _FINAL:
         return _give_up(state, error)
+    if state.keyed and event.kind is errors.RefusalKind.BACKEND_FAILED:
+        # This agent holds the key's claim: no other may run it.
+        return _give_up(state, error)
     costs = event.kind not in _FREE
     untouched = state.taken == state.base
     if event.outcome is errors.Outcome.NOT_RUN and untouched:
