--- a/src/lugcross/agent/app.py
+++ b/src/lugcross/agent/app.py
@@ -3,6 +3,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Iterable
 from collections.abc import Sequence
 import contextlib
 import threading
@@ -73,6 +74,8 @@
         )
         self._links: dict[exchange_lib.LinkId, wire.Link] = {}
         self._reasons: dict[str, str] = {}
+        self._feed = cfg.Feed(self.store)
+        self._entries: dict[exchange_lib.LinkId, wire.Hello] = {}
         self._idle = threading.Event()
         self._work_came = asyncio.Event()
         self._told: wire.Load | None = None
@@ -140,7 +143,11 @@
     def _add_platform(self, app: app_lib.Application) -> None:
         where = self._settings.platform
         log = platform.HttpLog(where.log, timeout_s=where.timeout_s)
-        follower = cfg.Follower(log, self.store, poll_s=where.poll_s)
+        follower = cfg.Follower(
+            log, self.store, clock=self._clock, poll_s=where.poll_s
+        )
+        # Entry hosts bring what is new; an agent reads only to start.
+        follower.set_relay(False)
         self.store.listen(self._on_config)
         app.add(app_lib.Hook(name="tracer", stop=self._tracer.close))
         app.add(app_lib.Hook(name="log", stop=log.close))
@@ -199,10 +206,24 @@
         self._news.post(_News(uid, event))
 
     def _on_config(
-        self, config: cfg.Config, applied: Sequence[cfg.Applied]
+        self,
+        config: cfg.Config,
+        records: Sequence[platform.Record],
+        applied: Sequence[cfg.Applied],
     ) -> None:
         del applied
         self._post(self._adopt, config)
+        self._post(self._pass_on, tuple(records))
+
+    def _pass_on(self, records: Sequence[platform.Record]) -> None:
+        self._post_all(self._feed.on_store(records))
+
+    def _post_all(self, posts: Iterable[cfg.Post]) -> None:
+        for post in posts:
+            assert isinstance(post.link, exchange_lib.LinkId)
+            link = self._links.get(post.link)
+            if link is not None:
+                self._send(link, post.msg)
 
     def _decide(self, uid: str, ruling: claims.Ruling) -> None:
         self._post(self._on_ruling, uid, ruling)
@@ -252,6 +273,9 @@
         link_id = exchange_lib.LinkId(link.num)
         self._links[link_id] = link
         self._dispatcher.on_link(link_id)
+        self._post_all(self._feed.on_link(link_id))
+        self._entries[link_id] = hello
+        self._tell_entries()
         self._metrics.incr("links.opened")
         if self._dispatcher.leaving:
             self._send(link, wire.Leaving(reason=self._dispatcher.leaving))
@@ -260,6 +284,9 @@
             await link.run(lambda msg: self._on_message(link_id, msg))
         finally:
             del self._links[link_id]
+            del self._entries[link_id]
+            self._feed.on_link_lost(link_id)
+            self._tell_entries()
             self._act(
                 self._dispatcher.on_link_lost(link_id, self._clock.monotonic())
             )
@@ -270,9 +297,24 @@
                 result="link lost",
             )
 
+    def _tell_entries(self) -> None:
+        """Tell the entry hosts of this domain of each other."""
+        domain = self._settings.node.domain
+        near = {
+            link_id: hello.node
+            for link_id, hello in self._entries.items()
+            if hello.domain == domain
+        }
+        msg = wire.Entries(names=tuple(sorted(set(near.values()))))
+        for link_id in near:
+            self._send(self._links[link_id], msg)
+
     def _on_message(
         self, link_id: exchange_lib.LinkId, msg: wire.Message
     ) -> None:
+        if isinstance(msg, wire.Have | wire.Records | wire.Snapshot):
+            self._post_all(self._feed.on_message(link_id, msg))
+            return
         now = self._clock.monotonic()
         self._work_came.set()
         self._act(self._dispatcher.on_message(link_id, msg, now))
--- a/src/lugcross/cfg/__init__.py
+++ b/src/lugcross/cfg/__init__.py
@@ -12,6 +12,9 @@
 from lugcross.cfg.compare import Difference
 from lugcross.cfg.compare import load_wanted
 from lugcross.cfg.compare import WantedFile
+from lugcross.cfg.feed import Feed
+from lugcross.cfg.feed import Post
+from lugcross.cfg.follower import Follower
 from lugcross.cfg.model import BackendServer
 from lugcross.cfg.model import hash_key
 from lugcross.cfg.model import Kind
@@ -36,7 +39,6 @@
 from lugcross.cfg.replay import step
 from lugcross.cfg.replay import Verdict
 from lugcross.cfg import settings
-from lugcross.cfg.store import Follower
 from lugcross.cfg.store import Store
 
 __all__ = [
@@ -48,12 +50,14 @@
     "Change",
     "Config",
     "Difference",
+    "Feed",
     "Follower",
     "Item",
     "Kind",
     "ModelGroup",
     "Object",
     "OnceLogAway",
+    "Post",
     "Publisher",
     "Put",
     "Receipt",
--- a/src/lugcross/cfg/publisher.py
+++ b/src/lugcross/cfg/publisher.py
@@ -1,6 +1,7 @@
 # SPDX-License-Identifier: Apache-2.0
 """Publishing a change: accepted means read back from the log."""
 
+from collections.abc import Callable
 import dataclasses
 import datetime
 import enum
@@ -45,6 +46,8 @@
     """Appends changes and tells what became of them.
 
     :param patience: how long to read on for a change.
+    :param published: called after an append, so that this node reads
+        the log though it is not a relay.
     """
 
     def __init__(
@@ -53,10 +56,12 @@
         store: store_lib.Store,
         *,
         patience: datetime.timedelta,
+        published: Callable[[], None],
     ) -> None:
         self._log = log
         self._store = store
         self._patience = patience
+        self._published = published
 
     def publish(self, change: change_lib.Change) -> Receipt:
         """Append ``change`` and return what became of it.
@@ -72,6 +77,7 @@
             return self._refused(change, reason)
         try:
             self._log.append(change_lib.STREAM, change_lib.encode(change))
+            self._published()
         except errors.LogThrottledError as exc:
             return Receipt(
                 id=change.id, standing=Standing.NOT_APPENDED, reason=str(exc)
@@ -79,7 +85,7 @@
         except errors.AppendUnknownError:
             # Settled by reading on: a guess could lose a change or
             # tell an operator that it holds when it does not.
-            pass
+            self._published()
         return self.ask(change.id)
 
     def ask(self, change: ids.ChangeId) -> Receipt:
--- a/src/lugcross/cfg/replay.py
+++ b/src/lugcross/cfg/replay.py
@@ -14,6 +14,8 @@
 from typing import final
 from typing import TypeVar
 
+import xxhash
+
 from lugcross.cfg import change as change_lib
 from lugcross.cfg import model
 from lugcross import errors
@@ -69,7 +71,11 @@
 @final
 @dataclasses.dataclass(frozen=True)
 class Config:
-    """The whole configuration at one offset; never changed in place."""
+    """The whole configuration at one offset; never changed in place.
+
+    :param chain: digest of all records up to the offset; nodes at one
+        offset that differ in it have not read the same records.
+    """
 
     offset: ids.Offset = ids.Offset(0)
     items: Mapping[model.Ref, Item] = dataclasses.field(
@@ -78,6 +84,7 @@
     settled: Mapping[ids.ChangeId, Applied] = dataclasses.field(
         default_factory=lambda: types.MappingProxyType({})
     )
+    chain: bytes = b""
 
     def get(self, ref: model.Ref) -> model.Object | None:
         """Return the object at ``ref``, if there is one."""
@@ -162,8 +169,16 @@
         applied = Applied(
             offset=offset, verdict=Verdict.KEPT_OUT, reason=str(exc)
         )
-        return dataclasses.replace(config, offset=offset), applied
-    return _apply(config, offset, change)
+        kept_out = dataclasses.replace(
+            config, offset=offset, chain=_link(config.chain, data)
+        )
+        return kept_out, applied
+    after, applied = _apply(config, offset, change)
+    return dataclasses.replace(after, chain=_link(config.chain, data)), applied
+
+
+def _link(chain: bytes, data: bytes) -> bytes:
+    return xxhash.xxh3_128_digest(chain + data)
 
 
 def judge(config: Config, change: change_lib.Change) -> tuple[Verdict, str]:
--- a/src/lugcross/cfg/store.py
+++ b/src/lugcross/cfg/store.py
@@ -1,40 +1,43 @@
 # SPDX-License-Identifier: Apache-2.0
-"""The configuration in force in this process, kept up from the log."""
+"""The configuration in force in this process."""
 
 from collections.abc import Callable
 from collections.abc import Sequence
 import datetime
-import random
 import threading
 from typing import final
 
 from absl import logging
 
-from lugcross.cfg import change as change_lib
 from lugcross.cfg import replay
 from lugcross import clock as clock_lib
-from lugcross import errors
 from lugcross import ids
 from lugcross import platform
 
-_RETRY_FIRST = clock_lib.seconds(0.1)
-_RETRY_MOST = clock_lib.seconds(5)
-
-#: Called with each new configuration and what led to it, in order.
-Listener = Callable[[replay.Config, Sequence[replay.Applied]], None]
+#: Called with each new configuration, the records that led to it and
+#: what each did; both are empty after a snapshot.
+Listener = Callable[
+    [replay.Config, Sequence[platform.Record], Sequence[replay.Applied]],
+    None,
+]
 
 
 @final
 class Store:
-    """Holds the configuration and wakes those who wait for a change."""
+    """Holds the configuration and wakes those who wait for a change.
+
+    Records may come from the log and from peers, in any thread; the
+    offset never goes back, whoever offers what.
+    """
 
     def __init__(self, clock: clock_lib.Clock) -> None:
         self._clock = clock
         self._config = replay.Config()
-        self._changed = threading.Condition()
+        self._changed = threading.Condition(threading.RLock())
         self._listeners: list[Listener] = []
         self._heard: clock_lib.Instant | None = None
-        self.trouble = "the log has not been read yet"
+        self._doubted = False
+        self.trouble = "neither the log nor a peer has told it yet"
 
     @property
     def config(self) -> replay.Config:
@@ -43,17 +46,22 @@
 
     @property
     def ready(self) -> bool:
-        """Whether this process has read the log to its end once."""
+        """Whether the log was read to its end or a peer gave its state."""
         return self._heard is not None
 
+    @property
+    def doubted(self) -> bool:
+        """Whether what is held must be read again from the log."""
+        return self._doubted
+
     def age(self) -> datetime.timedelta | None:
-        """Return how old the knowledge is; none before the first read."""
+        """Return how old the knowledge is; none before the first."""
         if self._heard is None:
             return None
         return self._clock.monotonic() - self._heard
 
     def listen(self, listener: Listener) -> None:
-        """Call ``listener`` on each record from now on."""
+        """Call ``listener`` on each change from now on."""
         self._listeners.append(listener)
 
     def apply(self, records: Sequence[platform.Record]) -> None:
@@ -61,39 +69,48 @@
 
         :raises errors.ReplayGapError: when records are missing.
         """
-        if not records:
-            return
-        config = self._config
-        results = []
-        for record in records:
-            config, applied = replay.step(config, record.offset, record.data)
-            results.append(applied)
         with self._changed:
-            self._config = config
-            self._changed.notify_all()
-        for applied in results:
-            if applied.verdict is replay.Verdict.KEPT_OUT:
-                logging.warning("kept out", extra={"why": applied.reason})
-        for listener in self._listeners:
-            self._tell(listener, config, results)
+            fresh = [
+                one for one in records if one.offset > self._config.offset
+            ]
+            if not fresh:
+                return
+            config = self._config
+            results = []
+            for record in fresh:
+                config, applied = replay.step(
+                    config, record.offset, record.data
+                )
+                results.append(applied)
+            self._set(config, fresh, results)
 
-    def _tell(
-        self,
-        listener: Listener,
-        config: replay.Config,
-        results: Sequence[replay.Applied],
-    ) -> None:
-        try:
-            listener(config, results)
-        except Exception:
-            # A bug in one part must not stop the configuration of all.
-            logging.exception("a listener failed")
+    def adopt(self, config: replay.Config) -> None:
+        """Put a snapshot in force, unless it is not newer."""
+        with self._changed:
+            if config.offset > self._config.offset:
+                self._set(config, (), ())
+
+    def replace(self, config: replay.Config) -> None:
+        """Put in force what the log itself holds, after a doubt."""
+        with self._changed:
+            self._doubted = False
+            if config.chain != self._config.chain:
+                self._set(config, (), ())
+
+    def doubt(self, why: str) -> None:
+        """Note that what is held may be wrong."""
+        self._doubted = True
+        self.trouble = why
 
     def heard_all(self) -> None:
         """Note that the log was just read to its end."""
         self._heard = self._clock.monotonic()
         self.trouble = ""
 
+    def heard_from_peer(self) -> None:
+        """Note that a peer has given what it holds."""
+        self._heard = self._clock.monotonic()
+
     def wait_settled(
         self, change: ids.ChangeId, timeout: datetime.timedelta
     ) -> replay.Applied | None:
@@ -105,54 +122,29 @@
             )
             return self._config.settled.get(change)
 
+    def _set(
+        self,
+        config: replay.Config,
+        records: Sequence[platform.Record],
+        results: Sequence[replay.Applied],
+    ) -> None:
+        self._config = config
+        self._changed.notify_all()
+        for applied in results:
+            if applied.verdict is replay.Verdict.KEPT_OUT:
+                logging.warning("kept out", extra={"why": applied.reason})
+        for listener in self._listeners:
+            self._tell(listener, config, records, results)
 
-@final
-class Follower:
-    """Thread that reads the configuration stream into a store.
-
-    :param poll_s: how long one read waits for new records, in seconds.
-    """
-
-    def __init__(
-        self, log: platform.Log, store: Store, *, poll_s: float
+    def _tell(
+        self,
+        listener: Listener,
+        config: replay.Config,
+        records: Sequence[platform.Record],
+        results: Sequence[replay.Applied],
     ) -> None:
-        self._log = log
-        self._store = store
-        self._poll_s = poll_s
-        self._stopping = threading.Event()
-        self._thread = threading.Thread(
-            target=self._run, name="cfg-follower", daemon=True
-        )
-
-    def start(self) -> None:
-        """Begin to follow."""
-        self._thread.start()
-
-    def stop(self) -> None:
-        """Stop following; does not wait for a read in progress."""
-        self._stopping.set()
-
-    def _run(self) -> None:
-        retry = _RETRY_FIRST
-        while not self._stopping.is_set():
-            try:
-                self._read_once()
-                retry = _RETRY_FIRST
-            except errors.LugcrossError as exc:
-                self._store.trouble = str(exc)
-                logging.warning(
-                    "cannot follow the log", extra={"why": str(exc)}
-                )
-                # Jitter keeps a whole fleet from returning at one moment.
-                pause = retry.total_seconds() * random.uniform(0.5, 1)
-                self._stopping.wait(pause)
-                retry = min(retry * 2, _RETRY_MOST)
-
-    def _read_once(self) -> None:
-        start = ids.Offset(self._store.config.offset + 1)
-        # The first read must not wait: it decides about readiness.
-        wait_s = self._poll_s if self._store.ready else 0.0
-        batch = self._log.read(change_lib.STREAM, start, wait_s=wait_s)
-        self._store.apply(batch.records)
-        if self._store.config.offset + 1 >= batch.end:
-            self._store.heard_all()
+        try:
+            listener(config, records, results)
+        except Exception:
+            # A bug in one part must not stop the configuration of all.
+            logging.exception("a listener failed")
--- a/src/lugcross/entry/app.py
+++ b/src/lugcross/entry/app.py
@@ -60,6 +60,7 @@
             domain=self._domain,
             clock=clock,
             journal=self.journal,
+            store=self.store,
         )
         self._budgets: dict[ids.ServiceName, routing.RetryBudget] = {}
         self._leaving = ""
@@ -70,7 +71,19 @@
         self._served: threading.Thread | None = None
         where = settings.platform
         self.log = platform.HttpLog(where.log, timeout_s=where.timeout_s)
-        publisher = cfg.Publisher(self.log, self.store, patience=PATIENCE)
+        self.follower = cfg.Follower(
+            self.log,
+            self.store,
+            clock=clock,
+            poll_s=where.poll_s,
+            writes=True,
+        )
+        publisher = cfg.Publisher(
+            self.log,
+            self.store,
+            patience=PATIENCE,
+            published=self.follower.look,
+        )
         self.rpc = rpc.RpcServer(
             rpc.OperatorServicer(
                 self.store,
@@ -171,8 +184,9 @@
 
     def _add_platform(self, app: app_lib.Application) -> None:
         where = self._settings.platform
-        follower = cfg.Follower(self.log, self.store, poll_s=where.poll_s)
+        follower = self.follower
         self.store.listen(self._on_config)
+        self.upstream.on_neighbours(self._on_neighbours)
         app.add(app_lib.Hook(name="log", stop=self.log.close))
         app.add(
             app_lib.Hook(
@@ -209,8 +223,21 @@
     def _stop_links(self) -> None:
         self._loop.call(self.upstream.stop(), timeout_s=_CALL_S)
 
+    def _on_neighbours(self, relay: bool) -> None:
+        if relay != self.follower.relay:
+            self.journal.note(
+                observe.Topic.DUTY,
+                self._node,
+                rule="first by hash among the entry hosts that are seen",
+                result="relay of the log" if relay else "no relay",
+            )
+            self.follower.set_relay(relay)
+
     def _on_config(
-        self, config: cfg.Config, applied: Sequence[cfg.Applied]
+        self,
+        config: cfg.Config,
+        records: Sequence[platform.Record],
+        applied: Sequence[cfg.Applied],
     ) -> None:
         for one in applied:
             self.journal.note(
@@ -222,6 +249,9 @@
         self._loop.loop.call_soon_threadsafe(
             self.upstream.adopt, self._wanted(config)
         )
+        self._loop.loop.call_soon_threadsafe(
+            self.upstream.pass_on, tuple(records)
+        )
 
     def _on_hosts(self, leaving: frozenset[str]) -> None:
         self.upstream.hosts_leaving = leaving
--- a/src/lugcross/entry/upstream.py
+++ b/src/lugcross/entry/upstream.py
@@ -2,7 +2,10 @@
 """An entry host's links to the agents, and the exchanges on them."""
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Sequence
+import contextlib
 import itertools
 import queue
 import random
@@ -15,7 +18,9 @@
 from lugcross.entry import lifecycle
 from lugcross import errors
 from lugcross import ids
+from lugcross import membership
 from lugcross import observe
+from lugcross import platform
 from lugcross import routing
 from lugcross import wire
 
@@ -144,8 +149,12 @@
         domain: ids.DomainName,
         clock: clock_lib.Clock,
         journal: observe.Journal,
+        store: cfg.Store,
     ) -> None:
         self._loop = loop
+        self._feed = cfg.Feed(store)
+        self._neighbours = membership.Neighbours(node, domain)
+        self._tell_relay: Callable[[bool], None] = lambda relay: None
         self._clock = clock
         self._journal = journal
         self._secret = secret
@@ -170,6 +179,14 @@
                 self._drop(name)
             self._add(Peer(backend))
 
+    def on_neighbours(self, listener: Callable[[bool], None]) -> None:
+        """Tell ``listener`` whether this entry host is a relay."""
+        self._tell_relay = listener
+
+    def pass_on(self, records: Sequence[platform.Record]) -> None:
+        """Tell peers what was put in force; in the loop's thread."""
+        self._post_all(self._feed.on_store(records))
+
     def peer(self, name: ids.BackendName) -> Peer | None:
         """Return what is known of one backend server."""
         return self._peers.get(name)
@@ -300,14 +317,30 @@
         peer.link = link
         self._wake(peer)
         try:
-            await link.run(
-                lambda msg: peer.receive(msg, self._clock.monotonic())
-            )
+            self._post_all(self._feed.on_link(link))
+            await link.run(lambda msg: self._receive(peer, link, msg))
         finally:
             peer.link = None
+            self._feed.on_link_lost(link)
+            self._neighbours.on_link_lost(link)
+            self._tell_relay(self._neighbours.is_relay())
             peer.why_down = "the link was lost"
             self._lose_calls(peer)
 
+    def _receive(self, peer: Peer, link: wire.Link, msg: wire.Message) -> None:
+        if isinstance(msg, wire.Entries):
+            self._neighbours.on_entries(link, msg.names)
+            self._tell_relay(self._neighbours.is_relay())
+            return
+        peer.receive(msg, self._clock.monotonic())
+        self._post_all(self._feed.on_message(link, msg))
+
+    def _post_all(self, posts: Iterable[cfg.Post]) -> None:
+        for post in posts:
+            assert isinstance(post.link, wire.Link)
+            with contextlib.suppress(errors.LinkDownError):
+                post.link.post(post.msg)
+
     def _lose_calls(self, peer: Peer) -> None:
         calls = list(peer.calls.values())
         peer.calls.clear()
--- a/src/lugcross/membership/__init__.py
+++ b/src/lugcross/membership/__init__.py
@@ -3,6 +3,8 @@
 
 from lugcross.membership.hosts import HostWatch
 from lugcross.membership.hosts import leaving_names
+from lugcross.membership.relays import Neighbours
+from lugcross.membership.relays import RELAYS
 from lugcross.membership.subset import subset
 
-__all__ = ["HostWatch", "leaving_names", "subset"]
+__all__ = ["RELAYS", "HostWatch", "Neighbours", "leaving_names", "subset"]
--- /dev/null
+++ b/src/lugcross/membership/relays.py
@@ -0,0 +1,45 @@
+# SPDX-License-Identifier: Apache-2.0
+"""Which entry hosts of a failure domain read the log for the others."""
+
+from collections.abc import Hashable
+from collections.abc import Iterable
+from typing import final
+
+from lugcross import ids
+from lugcross import routing
+
+#: Relays of one failure domain; two, so that one may be frozen.
+RELAYS = 2
+
+
+@final
+class Neighbours:
+    """Entry hosts of the own failure domain that have links to agents.
+
+    Agents see a dead entry host at once by its links, long before the
+    platform's list does.
+
+    :param node: this entry host; always there.
+    """
+
+    def __init__(self, node: ids.NodeName, domain: ids.DomainName) -> None:
+        self._node = node
+        self._domain = domain
+        self._seen: dict[Hashable, frozenset[str]] = {}
+
+    def on_entries(self, link: Hashable, names: Iterable[str]) -> None:
+        """Take what the agent behind a link sees."""
+        self._seen[link] = frozenset(names)
+
+    def on_link_lost(self, link: Hashable) -> None:
+        """Forget what was told on a link."""
+        self._seen.pop(link, None)
+
+    def live(self) -> frozenset[str]:
+        """Return all entry hosts of the domain that are seen."""
+        return frozenset((str(self._node),)).union(*self._seen.values())
+
+    def is_relay(self) -> bool:
+        """Tell whether this entry host reads the log for the others."""
+        order = routing.rank(f"relay\0{self._domain}", self.live())
+        return self._node in order[:RELAYS]
--- a/src/lugcross/observe/journal.py
+++ b/src/lugcross/observe/journal.py
@@ -26,6 +26,7 @@
     LINK = "link"
     CONFIG = "config"
     LIFE = "life"
+    DUTY = "duty"
 
 
 class Input(NamedTuple):
--- a/src/lugcross/wire/__init__.py
+++ b/src/lugcross/wire/__init__.py
@@ -16,13 +16,17 @@
 from lugcross.wire.messages import Credit
 from lugcross.wire.messages import Dispatch
 from lugcross.wire.messages import End
+from lugcross.wire.messages import Entries
 from lugcross.wire.messages import Fail
+from lugcross.wire.messages import Have
 from lugcross.wire.messages import Head
 from lugcross.wire.messages import Hello
 from lugcross.wire.messages import Leaving
 from lugcross.wire.messages import Load
 from lugcross.wire.messages import Message
 from lugcross.wire.messages import Reattach
+from lugcross.wire.messages import Records
+from lugcross.wire.messages import Snapshot
 from lugcross.wire.messages import Started
 from lugcross.wire.messages import VERSION
 from lugcross.wire.messages import Welcome
@@ -39,7 +43,9 @@
     "Credit",
     "Dispatch",
     "End",
+    "Entries",
     "Fail",
+    "Have",
     "Handshake",
     "Head",
     "Hello",
@@ -52,6 +58,8 @@
     "Message",
     "Reattach",
     "Receiver",
+    "Records",
+    "Snapshot",
     "Started",
     "Welcome",
     "connect",
--- a/src/lugcross/wire/link.py
+++ b/src/lugcross/wire/link.py
@@ -114,6 +114,10 @@
         return sum(map(len, msg.events))
     if isinstance(msg, messages.Dispatch):
         return len(msg.body)
+    if isinstance(msg, messages.Records):
+        return sum(map(len, msg.records))
+    if isinstance(msg, messages.Snapshot):
+        return len(msg.part)
     return 0
 
 
--- a/src/lugcross/wire/messages.py
+++ b/src/lugcross/wire/messages.py
@@ -200,6 +200,45 @@
     reason: str
 
 
+@final
+class Have(_Message, frozen=True, tag=15):
+    """Either side: how much of the configuration it has.
+
+    :param chain: digest of the records up to ``offset``.
+    """
+
+    offset: ids.Offset
+    chain: bytes
+
+
+@final
+class Records(_Message, frozen=True, tag=16):
+    """Either side: records of the configuration that the peer lacks.
+
+    :param first: offset of the first; the others follow it.
+    """
+
+    first: ids.Offset
+    records: tuple[bytes, ...]
+
+
+@final
+class Snapshot(_Message, frozen=True, tag=17):
+    """Either side: one part of a snapshot, for a peer far behind."""
+
+    part: bytes
+
+
+@final
+class Entries(_Message, frozen=True, tag=18):
+    """Agent to entry host: entry hosts of its failure domain with links.
+
+    What an agent sees of them is newer than the platform's host list.
+    """
+
+    names: tuple[str, ...]
+
+
 #: Any message of the protocol.
 Message = (
     Challenge
@@ -216,4 +255,8 @@
     | Fail
     | Load
     | Leaving
+    | Have
+    | Records
+    | Snapshot
+    | Entries
 )
