Start an entry host without the log, and prove configuration by processes

Cause: an entry host learns its agents from the configuration, so one that started while the log was away had no link over which a peer could supply it. Change: settings name a few agents as seeds, which are asked after one second without the log; status tells the relays; process tests of races, lost answers, outages, a killed relay, starts without the log, without any source, malformed records and missing roles.

--- a/bench/procs.py
+++ b/bench/procs.py
@@ -35,6 +35,7 @@
 LEDGER = "ledger"
 SECRET = "a secret of this bench only"
 TOKEN = "operator-of-this-bench"
+VIEWER_TOKEN = "viewer-of-this-bench"
 
 _START_S = 20.0
 _POLL_S = 0.02
@@ -258,11 +259,13 @@
         return f"http://{HOST}:{self.standins[name].ports['http']}"
 
     @contextlib.contextmanager
-    def operator(self, entry: str = "") -> Iterator[rpc.OperatorClient]:
+    def operator(
+        self, entry: str = "", *, token: str = TOKEN
+    ) -> Iterator[rpc.OperatorClient]:
         """Open an operator's client of one entry host."""
         name = entry or next(iter(self.entries))
         target = f"{HOST}:{self.entries[name].ports['rpc']}"
-        client = rpc.OperatorClient(target, TOKEN)
+        client = rpc.OperatorClient(target, token)
         try:
             yield client
         finally:
@@ -373,21 +376,40 @@
         self.relays[name] = relay.Relay(self._relay_loop, HOST, port)
         return self.relays[name].port
 
-    def add_entry(self, domain: str, name: str) -> Process:
-        """Start an entry host."""
+    def add_entry(
+        self, domain: str, name: str, *, alone: bool = False
+    ) -> Process:
+        """Start an entry host.
+
+        :param alone: let it reach neither the log nor any agent.
+        """
         operator = cfg.settings.Operator(
             name="bench",
             role=cfg.settings.Role.EDITOR,
             token_sha256=hashlib.sha256(TOKEN.encode()).hexdigest(),
         )
+        viewer = cfg.settings.Operator(
+            name="viewer",
+            role=cfg.settings.Role.VIEWER,
+            token_sha256=hashlib.sha256(VIEWER_TOKEN.encode()).hexdigest(),
+        )
         settings = cfg.settings.Entry(
             **self._common(domain, name),
             http=cfg.settings.Address(host=HOST, port=0),
             rpc=cfg.settings.Address(host=HOST, port=0),
-            operators=(operator,),
+            operators=(operator, viewer),
             notice_s=self._notice_s,
             threads=self._threads,
+            seeds=tuple(
+                cfg.settings.Address(host=HOST, port=link.port)
+                for link in self._links.values()
+            ),
         )
+        if alone:
+            nowhere = cfg.settings.Platform(log=f"http://{HOST}:9")
+            settings = msgspec.structs.replace(
+                settings, platform=nowhere, seeds=()
+            )
         process = self._daemon("entry", name, settings)
         self.entries[name] = process.start("http", "rpc")
         return process
--- a/src/lugcross/agent/app.py
+++ b/src/lugcross/agent/app.py
@@ -173,7 +173,8 @@
             self._listener.start(link.host, link.port), timeout_s=_CALL_S
         )
         self._loop.submit(self._tick_for_ever())
-        self._post(self._adopt, self.store.config)
+        if self.store.ready:
+            self._post(self._adopt, self.store.config)
         logging.info("listening", extra={"what": "links", "port": self.port})
 
     def _drain(self) -> None:
@@ -240,6 +241,7 @@
         return found.share if found else _UNKNOWN_GROUP_SHARE
 
     def _adopt(self, config: cfg.Config) -> None:
+        logging.info("configuration", extra={"offset": config.offset})
         backend = config.backends.get(self._settings.backend)
         if backend is None:
             return
--- a/src/lugcross/cfg/settings.py
+++ b/src/lugcross/cfg/settings.py
@@ -148,6 +148,8 @@
     :param notice_s: how long to go on serving after /readyz first
         fails, so that the platform's balancer notices, in seconds.
     :param links: backend servers of each service to keep links to.
+    :param seeds: agents to ask for the configuration when this entry
+        host starts while the log is away.
     """
 
     http: Address
@@ -156,6 +158,7 @@
     threads: int = 64
     notice_s: float = 5.0
     links: int = 24
+    seeds: tuple[Address, ...] = ()
 
 
 @final
--- a/src/lugcross/cli/ctl.py
+++ b/src/lugcross/cli/ctl.py
@@ -420,7 +420,8 @@
     click.echo(
         f"{reply.node} in {reply.domain}: {state}; configuration at offset "
         f"{reply.offset}, heard {reply.knowledge_age_s:.1f} s ago; "
-        f"{reply.inflight} requests in progress"
+        f"{reply.inflight} requests in progress; "
+        f"{'relay of the log' if reply.relay else 'no relay'}"
     )
     table = rich.table.Table()
     for name in ("backend server", "domain", "state", "queue", "running"):
--- a/src/lugcross/entry/app.py
+++ b/src/lugcross/entry/app.py
@@ -17,6 +17,7 @@
 from lugcross.entry import admission
 from lugcross.entry import caller as caller_lib
 from lugcross.entry import http
+from lugcross.entry import seeds as seeds_lib
 from lugcross.entry import upstream as upstream_lib
 from lugcross import ids
 from lugcross import membership
@@ -111,7 +112,11 @@
                 name="loop", start=self._loop.start, stop=self._loop.stop
             )
         )
-        app.add(app_lib.Hook(name="links", stop=self._stop_links))
+        app.add(
+            app_lib.Hook(
+                name="links", start=self._ask_seeds, stop=self._stop_links
+            )
+        )
         self._add_platform(app)
         app.add(
             app_lib.Hook(name="rpc", start=self.rpc.start, stop=self.rpc.stop)
@@ -146,6 +151,7 @@
             offset=self.store.config.offset,
             knowledge_age_s=age.total_seconds() if age else 0.0,
             inflight=self.inflight.total,
+            relay=self.follower.relay,
             peers=[_peer_status(peer) for peer in self.upstream.peers()],
         )
 
@@ -220,6 +226,16 @@
         whole = self.inflight.wait_none(grace)
         logging.info("drained", extra={"whole": whole})
 
+    def _ask_seeds(self) -> None:
+        seeds = seeds_lib.Seeds(
+            self._settings.seeds,
+            self.store,
+            secret=self._settings.fleet.secret,
+            node=self._node,
+            domain=self._domain,
+        )
+        self._loop.submit(seeds.ask())
+
     def _stop_links(self) -> None:
         self._loop.call(self.upstream.stop(), timeout_s=_CALL_S)
 
