Tell what every node has in force, and hold duties by claims

Cause: ctl status told of one entry host only; nothing yet decided who holds a duty such as the placement of a model group. Change: agents tell entry hosts of each other with the offset that each has, so that any entry host's status shows the whole neighbourhood; duties are held by the newest claim in the log, with its offset as the fence and no renewals; tests for ejection, probes and slow engines.

--- a/src/lugcross/agent/app.py
+++ b/src/lugcross/agent/app.py
@@ -79,6 +79,7 @@
         self._idle = threading.Event()
         self._work_came = asyncio.Event()
         self._told: wire.Load | None = None
+        self._told_seen: tuple[wire.Seen, ...] = ()
         self._told_at: clock_lib.Instant | None = None
         self._claimer = self._make_claimer()
         self._listener = wire.Listener(
@@ -300,16 +301,16 @@
             )
 
     def _tell_entries(self) -> None:
-        """Tell the entry hosts of this domain of each other."""
-        domain = self._settings.node.domain
-        near = {
-            link_id: hello.node
+        """Tell the entry hosts of each other, if anything changed."""
+        seen = tuple(
+            wire.Seen(hello.node, hello.domain, self._feed.offset_of(link_id))
             for link_id, hello in self._entries.items()
-            if hello.domain == domain
-        }
-        msg = wire.Entries(names=tuple(sorted(set(near.values()))))
-        for link_id in near:
-            self._send(self._links[link_id], msg)
+        )
+        if seen == self._told_seen:
+            return
+        self._told_seen = seen
+        for link in self._links.values():
+            self._send(link, wire.Entries(seen=seen))
 
     def _on_message(
         self, link_id: exchange_lib.LinkId, msg: wire.Message
@@ -379,6 +380,7 @@
             return
         self._told = load
         self._told_at = now
+        self._tell_entries()
         for link in self._links.values():
             self._send(link, load)
 
--- a/src/lugcross/cfg/feed.py
+++ b/src/lugcross/cfg/feed.py
@@ -57,6 +57,10 @@
         self._has[link] = ids.Offset(-1)
         return [Post(link, self._have())]
 
+    def offset_of(self, link: Hashable) -> ids.Offset:
+        """Return what a peer is known to have; 0 while it is not known."""
+        return max(ids.Offset(0), self._has.get(link, ids.Offset(0)))
+
     def on_link_lost(self, link: Hashable) -> None:
         """Forget a link."""
         self._has.pop(link, None)
--- a/src/lugcross/cli/ctl.py
+++ b/src/lugcross/cli/ctl.py
@@ -423,8 +423,18 @@
         f"{reply.inflight} requests in progress; "
         f"{'relay of the log' if reply.relay else 'no relay'}"
     )
-    table = rich.table.Table()
-    for name in ("backend server", "domain", "state", "queue", "running"):
+    if reply.trouble:
+        click.echo(f"trouble: {reply.trouble}")
+    table = rich.table.Table(title="backend servers")
+    for name in (
+        "name",
+        "domain",
+        "state",
+        "queue",
+        "running",
+        "offset",
+        "heard s ago",
+    ):
         table.add_column(name)
     for peer in reply.peers:
         table.add_row(
@@ -433,8 +443,16 @@
             peer.why_down or peer.leaving or "linked",
             str(peer.queued),
             f"{peer.running}/{peer.capacity}",
+            str(peer.offset),
+            f"{peer.heard_s:.1f}",
         )
     rich.console.Console().print(table)
+    table = rich.table.Table(title="entry hosts, as agents see them")
+    for name in ("name", "domain", "offset"):
+        table.add_column(name)
+    for entry in reply.entries:
+        table.add_row(entry.node, entry.domain, str(entry.offset))
+    rich.console.Console().print(table)
 
 
 def _show_decisions(reply: pb.ExplainReply) -> None:
--- a/src/lugcross/entry/app.py
+++ b/src/lugcross/entry/app.py
@@ -48,6 +48,7 @@
         self, settings: cfg.settings.Entry, *, clock: clock_lib.Clock
     ) -> None:
         self._settings = settings
+        self._clock = clock
         self._domain = ids.DomainName(settings.node.domain)
         self._node = ids.NodeName(settings.node.name)
         self.store = cfg.Store(clock)
@@ -152,7 +153,29 @@
             knowledge_age_s=age.total_seconds() if age else 0.0,
             inflight=self.inflight.total,
             relay=self.follower.relay,
-            peers=[_peer_status(peer) for peer in self.upstream.peers()],
+            trouble=self.store.trouble,
+            peers=[self._peer_status(one) for one in self.upstream.peers()],
+            entries=[
+                pb.SeenEntry(
+                    node=one.node, domain=one.domain, offset=one.offset
+                )
+                for one in self.upstream.entries()
+            ],
+        )
+
+    def _peer_status(self, peer: upstream_lib.Peer) -> pb.PeerStatus:
+        heard = self._clock.monotonic() - peer.heard_at
+        return pb.PeerStatus(
+            backend=peer.name,
+            domain=peer.backend.domain,
+            linked=peer.link is not None,
+            why_down="" if peer.link else peer.why_down,
+            leaving=peer.leaving,
+            queued=peer.load.queued,
+            running=peer.load.running,
+            capacity=peer.load.capacity,
+            offset=self.upstream.offset_of(peer),
+            heard_s=heard.total_seconds(),
         )
 
     def _make_server(self, clock: clock_lib.Clock) -> wsgi.Server:
@@ -294,19 +317,6 @@
         return self._budgets.setdefault(service, routing.RetryBudget())
 
 
-def _peer_status(peer: upstream_lib.Peer) -> pb.PeerStatus:
-    return pb.PeerStatus(
-        backend=peer.name,
-        domain=peer.backend.domain,
-        linked=peer.link is not None,
-        why_down="" if peer.link else peer.why_down,
-        leaving=peer.leaving,
-        queued=peer.load.queued,
-        running=peer.load.running,
-        capacity=peer.load.capacity,
-    )
-
-
 def _log_server_error(
     msg: str = "", level: int = 20, traceback: bool = False
 ) -> None:
--- a/src/lugcross/entry/upstream.py
+++ b/src/lugcross/entry/upstream.py
@@ -183,6 +183,14 @@
         """Tell ``listener`` whether this entry host is a relay."""
         self._tell_relay = listener
 
+    def entries(self) -> list[wire.Seen]:
+        """Return the entry hosts that agents see."""
+        return self._neighbours.all()
+
+    def offset_of(self, peer: Peer) -> ids.Offset:
+        """Return the offset of the configuration that an agent has."""
+        return self._feed.offset_of(peer.link)
+
     def pass_on(self, records: Sequence[platform.Record]) -> None:
         """Tell peers what was put in force; in the loop's thread."""
         self._post_all(self._feed.on_store(records))
@@ -329,7 +337,7 @@
 
     def _receive(self, peer: Peer, link: wire.Link, msg: wire.Message) -> None:
         if isinstance(msg, wire.Entries):
-            self._neighbours.on_entries(link, msg.names)
+            self._neighbours.on_entries(link, msg.seen)
             self._tell_relay(self._neighbours.is_relay())
             return
         peer.receive(msg, self._clock.monotonic())
--- /dev/null
+++ b/src/lugcross/membership/duties.py
@@ -0,0 +1,165 @@
+# SPDX-License-Identifier: Apache-2.0
+"""Duties with one holder, by claims in the log that are never renewed.
+
+The newest claim of a duty in the log's order holds it, and its offset is
+the fence. A holder that was paused and wakes up carries an old fence,
+which everything that it gives orders to refuses. Claims cost an append
+only when a holder is lost, where a renewed lease would cost one for each
+duty every few seconds.
+"""
+
+from collections.abc import Collection
+import dataclasses
+from typing import final
+from typing import NewType
+
+import cbor2
+import msgspec
+
+from lugcross import errors
+from lugcross import ids
+from lugcross import routing
+
+#: Name of the stream that carries claims of duties.
+STREAM = "duties"
+
+#: Name of a duty, such as the placement of one model group.
+DutyName = NewType("DutyName", str)
+#: Offset of the claim by which a duty is held; grows with each holder.
+Fence = NewType("Fence", int)
+
+
+@final
+class DutyClaim(msgspec.Struct, frozen=True, array_like=True):
+    """One node takes a duty.
+
+    :param after: fence that the node saw; a claim on top of a newer one
+        has no effect, so that of two at once the first holds it.
+    """
+
+    duty: DutyName
+    node: ids.NodeName
+    incarnation: ids.Incarnation
+    after: Fence
+
+
+@final
+@dataclasses.dataclass(frozen=True)
+class Holding:
+    """Who holds a duty, and since which offset."""
+
+    node: ids.NodeName
+    incarnation: ids.Incarnation
+    fence: Fence
+
+
+def encode(claim: DutyClaim) -> bytes:
+    """Return the record that carries ``claim``."""
+    return cbor2.dumps(msgspec.to_builtins(claim))
+
+
+def decode(data: bytes) -> DutyClaim:
+    """Return the claim that a record carries.
+
+    :raises errors.ChangeError: when it is malformed.
+    """
+    try:
+        return msgspec.convert(cbor2.loads(data), DutyClaim)
+    except (cbor2.CBORDecodeError, msgspec.ValidationError) as exc:
+        raise errors.ChangeError(
+            f"claim of a duty is malformed ({exc})",
+            remedy="find the writer in the log; the record has no effect",
+        ) from exc
+
+
+@final
+class Duties:
+    """Who holds which duty, from the records of the stream in order."""
+
+    def __init__(self) -> None:
+        self._held: dict[DutyName, Holding] = {}
+        self.offset = ids.Offset(0)
+
+    def apply(self, offset: ids.Offset, data: bytes) -> None:
+        """Take one record; those read before change nothing.
+
+        :raises errors.ReplayGapError: when records before are missing.
+        """
+        if offset <= self.offset:
+            return
+        if offset != self.offset + 1:
+            raise errors.ReplayGapError(
+                f"claims of duties {offset} follow {self.offset}",
+                remedy="begin at the oldest record that is kept",
+            )
+        self.offset = offset
+        try:
+            claim = decode(data)
+        except errors.ChangeError:
+            return
+        held = self._held.get(claim.duty)
+        if claim.after != (held.fence if held else 0):
+            return
+        self._held[claim.duty] = Holding(
+            claim.node, claim.incarnation, Fence(offset)
+        )
+
+    def holder(self, duty: DutyName) -> Holding | None:
+        """Return who holds a duty, if anybody does."""
+        return self._held.get(duty)
+
+    def next_claim(
+        self,
+        duty: DutyName,
+        node: ids.NodeName,
+        incarnation: ids.Incarnation,
+        live: Collection[ids.NodeName],
+    ) -> DutyClaim | None:
+        """Return the claim that ``node`` should append now, if any.
+
+        A duty whose holder is there stays where it is. One whose holder
+        is gone is taken by the first of the live nodes by hash, so that
+        seldom two append at once.
+
+        :param live: nodes that are seen, ``node`` among them.
+        """
+        held = self._held.get(duty)
+        if held is not None and self._serves(held, node, incarnation, live):
+            return None
+        if routing.first(f"duty\0{duty}", live) != node:
+            return None
+        after = held.fence if held else Fence(0)
+        return DutyClaim(duty, node, incarnation, after)
+
+    def _serves(
+        self,
+        held: Holding,
+        node: ids.NodeName,
+        incarnation: ids.Incarnation,
+        live: Collection[ids.NodeName],
+    ) -> bool:
+        if held.node == node:
+            # An earlier life of this node held it, and forgot all.
+            return held.incarnation == incarnation
+        return held.node in live
+
+
+@final
+class FenceGuard:
+    """Refuses orders of holders that were superseded.
+
+    An agent keeps one for an engine that does not check fences itself.
+
+    :param floor: fence below which nothing is taken. An agent that was
+        restarted remembers none, and takes its floor from the log.
+    """
+
+    def __init__(self, floor: Fence = Fence(0)) -> None:
+        self._highest = floor
+
+    def admit(self, fence: Fence) -> bool:
+        """Tell whether an order with ``fence`` may be carried out."""
+        if fence < self._highest:
+            return False
+        self._highest = fence
+        return True
--- a/src/lugcross/membership/relays.py
+++ b/src/lugcross/membership/relays.py
@@ -7,6 +7,7 @@
 
 from lugcross import ids
 from lugcross import routing
+from lugcross import wire
 
 #: Relays of one failure domain; two, so that one may be frozen.
 RELAYS = 2
@@ -25,19 +26,30 @@
     def __init__(self, node: ids.NodeName, domain: ids.DomainName) -> None:
         self._node = node
         self._domain = domain
-        self._seen: dict[Hashable, frozenset[str]] = {}
+        self._seen: dict[Hashable, tuple[wire.Seen, ...]] = {}
 
-    def on_entries(self, link: Hashable, names: Iterable[str]) -> None:
+    def on_entries(self, link: Hashable, seen: Iterable[wire.Seen]) -> None:
         """Take what the agent behind a link sees."""
-        self._seen[link] = frozenset(names)
+        self._seen[link] = tuple(seen)
 
     def on_link_lost(self, link: Hashable) -> None:
         """Forget what was told on a link."""
         self._seen.pop(link, None)
 
-    def live(self) -> frozenset[str]:
+    def live(self) -> frozenset[ids.NodeName]:
         """Return all entry hosts of the domain that are seen."""
-        return frozenset((str(self._node),)).union(*self._seen.values())
+        near = (one for one in self.all() if one.domain == self._domain)
+        return frozenset((self._node, *(one.node for one in near)))
+
+    def all(self) -> list[wire.Seen]:
+        """Return all entry hosts that are seen, with what they have."""
+        newest: dict[ids.NodeName, wire.Seen] = {}
+        for seen in self._seen.values():
+            for one in seen:
+                known = newest.get(one.node)
+                if known is None or known.offset < one.offset:
+                    newest[one.node] = one
+        return [newest[name] for name in sorted(newest)]
 
     def is_relay(self) -> bool:
         """Tell whether this entry host reads the log for the others."""
--- a/src/lugcross/wire/__init__.py
+++ b/src/lugcross/wire/__init__.py
@@ -26,6 +26,7 @@
 from lugcross.wire.messages import Message
 from lugcross.wire.messages import Reattach
 from lugcross.wire.messages import Records
+from lugcross.wire.messages import Seen
 from lugcross.wire.messages import Snapshot
 from lugcross.wire.messages import Started
 from lugcross.wire.messages import VERSION
@@ -59,6 +60,7 @@
     "Reattach",
     "Receiver",
     "Records",
+    "Seen",
     "Snapshot",
     "Started",
     "Welcome",
--- a/src/lugcross/wire/messages.py
+++ b/src/lugcross/wire/messages.py
@@ -229,14 +229,25 @@
     part: bytes
 
 
+class Seen(msgspec.Struct, frozen=True, array_like=True):
+    """One entry host as an agent sees it by its link.
+
+    :param offset: of the configuration that it said it has.
+    """
+
+    node: ids.NodeName
+    domain: ids.DomainName
+    offset: ids.Offset
+
+
 @final
 class Entries(_Message, frozen=True, tag=18):
-    """Agent to entry host: entry hosts of its failure domain with links.
+    """Agent to entry host: the entry hosts that have links to it.
 
     What an agent sees of them is newer than the platform's host list.
     """
 
-    names: tuple[str, ...]
+    seen: tuple[Seen, ...]
 
 
 #: Any message of the protocol.
--- a/testing/cfg/test_spread.py
+++ b/testing/cfg/test_spread.py
@@ -242,12 +242,15 @@
     names = [ids.NodeName(f"e{num}") for num in range(8)]
     domain = ids.DomainName("a")
 
+    def seen(name: ids.NodeName) -> wire.Seen:
+        return wire.Seen(name, domain, ids.Offset(0))
+
     def relays_among(live: list[ids.NodeName]) -> list[str]:
         found = []
         for name in live:
             near = membership.Neighbours(name, domain)
-            near.on_entries("l1", live[:4])
-            near.on_entries("l2", live[2:])
+            near.on_entries("l1", [seen(one) for one in live[:4]])
+            near.on_entries("l2", [seen(one) for one in live[2:]])
             if near.is_relay():
                 found.append(name)
         return found
--- a/testing/routing/test_routing.py
+++ b/testing/routing/test_routing.py
@@ -2,6 +2,8 @@
 """Choice, subsets, rendezvous hashing and the retry budget."""
 
 import collections
+import dataclasses
+import datetime
 import random
 
 from lugcross import cfg
@@ -109,3 +111,57 @@
         budget.earn()
         spent += budget.spend()
     assert spent <= 105
+
+
+def test_slow_engine_gets_less_though_its_queue_is_shorter() -> None:
+    slow = dataclasses.replace(candidate("slow", 0), step_ms=100.0)
+    fast = dataclasses.replace(candidate("fast", 4), step_ms=10.0)
+    assert choose(slow, fast) == "fast"
+
+
+def test_ejected_ones_are_left_out_unless_too_few_are_left() -> None:
+    ejected = dataclasses.replace(candidate("out"), ejected=True)
+    assert choose(ejected, candidate("in", 9)) == "in"
+    more = dataclasses.replace(candidate("more"), ejected=True)
+    assert choose(ejected, more, candidate("in", 9)) in ("out", "more")
+
+
+def seconds(value: float) -> datetime.timedelta:
+    return datetime.timedelta(seconds=value)
+
+
+def failing(count: int) -> routing.Health:
+    health = routing.Health()
+    for _ in range(count):
+        health.failed(seconds(0))
+    return health
+
+
+def test_faults_in_a_row_eject_and_a_success_between_does_not() -> None:
+    assert not failing(2).ejected(seconds(0))
+    assert failing(3).ejected(seconds(0))
+    health = failing(2)
+    health.worked()
+    health.failed(seconds(0))
+    assert not health.ejected(seconds(0))
+
+
+def test_one_probe_decides_about_the_return() -> None:
+    health = failing(3)
+    later = seconds(2)
+    assert not health.ejected(later)
+    health.sent(later)
+    assert health.ejected(later)
+    health.failed(later)
+    assert health.ejected(seconds(3.9))
+    assert not health.ejected(seconds(4.1))
+    health.sent(seconds(4.1))
+    health.worked()
+    assert not health.ejected(seconds(4.1))
+
+
+def test_probe_that_tells_nothing_lets_another_through() -> None:
+    health = failing(3)
+    health.sent(seconds(2))
+    health.unclear()
+    assert not health.ejected(seconds(2))
