--- a/src/lugcross/entry/app.py
+++ b/src/lugcross/entry/app.py
@@ -207,7 +207,6 @@
             timeout=_HEADERS_S,
         )
         server.max_request_header_size = _MAX_HEADERS
-        server.max_request_body_size = http.MAX_BODY
         server.error_log = _log_server_error  # type: ignore[method-assign]
         return server
 
--- a/src/lugcross/entry/http.py
+++ b/src/lugcross/entry/http.py
@@ -32,6 +32,9 @@
 #: Prefix of the paths of plain services.
 SERVICES = "/services/"
 
+#: Refused bodies up to this size are read to their end, so that the
+#: caller sees the answer instead of a reset connection.
+_DRAINED = 16 * 1_048_576
 _PLAIN_COST = 16
 _MODEL_PATHS = (openai.CHAT, openai.COMPLETIONS)
 _EVENT_STREAM = "text/event-stream"
@@ -129,9 +132,9 @@
             logging.exception("request failed", extra={"request": req_id})
             resp = _error_response(_internal(exc), req_id)
         headers = [("X-Request-Id", req_id), *resp.headers]
-        if self._unready():
-            # The balancer must not reuse a connection to a host that
-            # is on its way out.
+        # The balancer must not reuse a connection to a host that is on
+        # its way out; and nobody waits for the rest of a huge body.
+        if self._unready() or _length(environ) > _DRAINED:
             headers.append(("Connection", "close"))
         start_response(_status_line(resp.status), headers)
         return resp.body
@@ -343,8 +346,7 @@
 
 
 def _read_body(environ: Environ, limit: int) -> bytes:
-    length = environ.get("CONTENT_LENGTH") or "0"
-    if length.isdigit() and int(length) > limit:
+    if _length(environ) > limit:
         raise admission.too_large(limit)
     body: bytes = environ["wsgi.input"].read(limit + 1)
     if len(body) > limit:
@@ -352,6 +354,11 @@
     return body
 
 
+def _length(environ: Environ) -> int:
+    length = environ.get("CONTENT_LENGTH") or "0"
+    return int(length) if length.isdigit() else 0
+
+
 def _request_id(environ: Environ) -> ids.RequestId:
     return ids.RequestId(environ.get("HTTP_X_REQUEST_ID") or ids.new_token())
 
