--- a/testing/test_promises.py
+++ b/testing/test_promises.py
@@ -302,6 +302,22 @@
     assert sender.charge(url, b"{}", key="no log").whole
 
 
+def test_key_while_the_log_is_away_runs_once_from_memory_if_so_set(
+    fleet: procs.Fleet, sender: demo.Sender, url: str
+) -> None:
+    with _served_from_memory(fleet):
+        fleet.faults("log", down=True)
+        results = [
+            sender.charge(one, b"{}", key="memory") for one in fleet.urls()
+        ]
+        fleet.faults("log")
+    assert [result.whole for result in results] == [True, True]
+    assert fleet.ran()["memory"] == 1
+    # The claim was appended when the log came back.
+    assert sender.charge(url, b"{}", key="memory").whole
+    assert fleet.ran()["memory"] == 1
+
+
 def test_agent_paused_past_the_deadline_and_woken_runs_no_key_twice(
     fleet: procs.Fleet, sender: demo.Sender, url: str
 ) -> None:
@@ -480,6 +496,37 @@
     return any(p.backend == backend and p.leaving for p in peers)
 
 
+@contextlib.contextmanager
+def _served_from_memory(fleet: procs.Fleet) -> Iterator[None]:
+    """Let the plain service run from memory while the log is away."""
+    for away in (cfg.OnceLogAway.MEMORY, cfg.OnceLogAway.REFUSE):
+        service = cfg.Service(
+            name=procs.LEDGER,
+            type=cfg.ServiceType.PLAIN,
+            repeatable=False,
+            timeout_s=fleet.timeout_s,
+            once_log_away=away,
+        )
+        with fleet.operator("entry-d0-0") as client:
+            revision = next(
+                item.revision
+                for item in client.config().items
+                if item.service.name == service.name
+            )
+            offset = client.put(service, expect=revision).offset
+        procs.wait_until(
+            lambda want=offset: _agents_have(fleet, want),
+            what="service in force",
+        )
+        if away is cfg.OnceLogAway.MEMORY:
+            yield
+
+
+def _agents_have(fleet: procs.Fleet, offset: int) -> bool:
+    with fleet.operator("entry-d0-0") as client:
+        return all(p.offset >= offset for p in client.status().peers)
+
+
 @contextlib.contextmanager
 def _left(fleet: procs.Fleet, backend: str) -> Iterator[None]:
     """Let an operator set a backend server to leaving for a while."""
