Write record encoding, kept answers and test callers once

Change: lugcross.record for all records, agent.kept for kept answers with a test of its bound, a caller that takes the names of its services. Conclusion: behaviour as before; a record that is malformed is now named by what it should have been.

--- a/bench/procs.py
+++ b/bench/procs.py
@@ -27,6 +27,7 @@
 import relay
 
 from lugcross import cfg
+from lugcross import demo
 from lugcross import platform
 from lugcross import rpc
 from lugcross import standin
@@ -335,6 +336,10 @@
             for obj in objects:
                 client.put(obj, expect=0)
 
+    def sender(self) -> demo.Sender:
+        """Return a caller with the workspace's key."""
+        return demo.Sender(self.key, model=MODEL, ledger=LEDGER)
+
     def objects(self) -> list[cfg.Object]:
         """Return the configuration of this fleet."""
         return [
--- a/src/lugcross/agent/claims.py
+++ b/src/lugcross/agent/claims.py
@@ -13,13 +13,13 @@
 import hashlib
 from typing import final
 
-import cbor2
 import msgspec
 
 from lugcross.agent import once
 from lugcross import clock as clock_lib
 from lugcross import errors
 from lugcross import ids
+from lugcross import record
 
 #: Name of the stream that carries claims.
 STREAM = "once"
@@ -91,7 +91,7 @@
 
 def encode(batch: Batch) -> bytes:
     """Return the record that carries ``batch``."""
-    return cbor2.dumps(msgspec.to_builtins(batch, builtin_types=(bytes,)))
+    return record.dump(batch)
 
 
 def decode(data: bytes) -> Batch:
@@ -99,15 +99,7 @@
 
     :raises errors.ChangeError: when it is malformed.
     """
-    try:
-        return msgspec.convert(
-            cbor2.loads(data), Batch, builtin_types=(bytes,)
-        )
-    except (cbor2.CBORDecodeError, msgspec.ValidationError) as exc:
-        raise errors.ChangeError(
-            f"record of claims is malformed ({exc})",
-            remedy="find the writer in the log; the record has no effect",
-        ) from exc
+    return record.load(data, Batch)
 
 
 @final
--- a/src/lugcross/agent/dispatcher.py
+++ b/src/lugcross/agent/dispatcher.py
@@ -15,6 +15,7 @@
 from lugcross.agent import events
 from lugcross.agent import exchange as exchange_lib
 from lugcross.agent import failures
+from lugcross.agent import kept
 from lugcross.agent import once as once_lib
 from lugcross.agent import pace
 from lugcross import clock as clock_lib
@@ -25,8 +26,6 @@
 
 #: How long an exchange waits for its entry host after a lost link.
 LINGER = datetime.timedelta(seconds=10)
-#: Answers kept for repeats under a key, in bytes of all together.
-KEPT_ANSWERS = 8 * 1_048_576
 
 _SPEED_FIRST = 500.0
 _SPEED_GAIN = 0.1
@@ -56,8 +55,7 @@
         self._queue = shares.FairQueue(weight)
         self._exchanges: dict[str, exchange_lib.Exchange] = {}
         self._arrivals = arrivals.Arrivals()
-        self._kept: dict[str, exchange_lib.Exchange] = {}
-        self._kept_bytes = 0
+        self._kept = kept.KeptAnswers()
         self._running: dict[str, clock_lib.Instant] = {}
         self._speed = _SPEED_FIRST
         self._pace = pace.Pace()
@@ -136,7 +134,7 @@
         for exchange in list(self._exchanges.values()):
             self._check_age(exchange, now)
         for uid in self.once.expire(now):
-            self._drop_kept(uid)
+            self._kept.drop(uid)
         return self._done()
 
     def set_leaving(self, reason: str) -> None:
@@ -399,15 +397,7 @@
         del self._exchanges[exchange.uid]
         if not exchange.once or not exchange.ran:
             return
-        self._kept[exchange.uid] = exchange
-        self._kept_bytes += exchange.kept_bytes
-        while self._kept_bytes > KEPT_ANSWERS:
-            self._drop_kept(next(iter(self._kept)))
-
-    def _drop_kept(self, uid: str) -> None:
-        exchange = self._kept.pop(uid, None)
-        if exchange is not None:
-            self._kept_bytes -= exchange.kept_bytes
+        self._kept.add(exchange)
 
     def _find(self, uid: str) -> exchange_lib.Exchange | None:
         return self._exchanges.get(uid) or self._kept.get(uid)
--- a/src/lugcross/cfg/change.py
+++ b/src/lugcross/cfg/change.py
@@ -3,12 +3,12 @@
 
 from typing import final
 
-import cbor2
 import msgspec
 
 from lugcross.cfg import model
 from lugcross import errors
 from lugcross import ids
+from lugcross import record
 
 #: Name of the stream that carries the configuration.
 STREAM = "config"
@@ -67,7 +67,7 @@
 
     :raises errors.ChangeError: when it would not fit into a record.
     """
-    data = cbor2.dumps(msgspec.to_builtins(change))
+    data = record.dump(change)
     if len(data) > _MAX_RECORD:
         raise errors.ChangeError(
             f"change {change.id} takes {len(data)} bytes, over the "
@@ -83,17 +83,15 @@
     :raises errors.ChangeError: when it is malformed or newer than
         :data:`SCHEMA`.
     """
-    try:
-        raw = cbor2.loads(data)
-        schema = raw.get("schema") if isinstance(raw, dict) else None
-        if isinstance(schema, int) and schema > SCHEMA:
-            raise errors.ChangeError(
-                f"record has schema {schema}, newer than {SCHEMA}",
-                remedy="update this process; it keeps the record out",
-            )
-        return msgspec.convert(raw, Change)
-    except (cbor2.CBORDecodeError, msgspec.ValidationError) as exc:
+    # Looked at alone first: a newer record may differ in all the rest.
+    schema = record.load(data, _Versioned).schema
+    if schema > SCHEMA:
         raise errors.ChangeError(
-            f"record is malformed ({exc})",
-            remedy="find the writer in the log; the record has no effect",
-        ) from exc
+            f"record has schema {schema}, newer than {SCHEMA}",
+            remedy="update this process; it keeps the record out",
+        )
+    return record.load(data, Change)
+
+
+class _Versioned(msgspec.Struct, frozen=True):
+    schema: int = SCHEMA
--- a/src/lugcross/cfg/snapshot.py
+++ b/src/lugcross/cfg/snapshot.py
@@ -11,21 +11,19 @@
 import types
 from typing import final
 
-import cbor2
 import msgspec
 
 from lugcross.cfg import model
 from lugcross.cfg import replay
 from lugcross import errors
 from lugcross import ids
+from lugcross import record
 
 #: Name of the stream that carries snapshots.
 STREAM = "config-snapshots"
 #: Largest part, in bytes.
 PART_BYTES = 48_000
 
-_KEPT = (bytes,)
-
 
 @final
 class Part(msgspec.Struct, frozen=True, array_like=True):
@@ -72,7 +70,7 @@
 
 def split(config: replay.Config) -> list[Part]:
     """Return the parts of the snapshot of ``config``."""
-    body = _dump(_body_of(config))
+    body = record.dump(_body_of(config))
     digest = hashlib.sha256(body).digest()[:16]
     pieces = [
         body[start : start + PART_BYTES]
@@ -86,7 +84,7 @@
 
 def encode(part: Part) -> bytes:
     """Return the record that carries ``part``."""
-    return _dump(part)
+    return record.dump(part)
 
 
 def decode(data: bytes) -> Part:
@@ -94,10 +92,7 @@
 
     :raises errors.ChangeError: when it is malformed.
     """
-    try:
-        return msgspec.convert(cbor2.loads(data), Part, builtin_types=_KEPT)
-    except (cbor2.CBORDecodeError, msgspec.ValidationError) as exc:
-        raise _malformed(str(exc)) from exc
+    return record.load(data, Part)
 
 
 def join(parts: Iterable[Part]) -> replay.Config:
@@ -110,11 +105,7 @@
     digest = hashlib.sha256(body).digest()[:16]
     if not ordered or any(part.digest != digest for part in ordered):
         raise _malformed("parts are missing or of different snapshots")
-    try:
-        loaded = msgspec.convert(cbor2.loads(body), _Body, builtin_types=_KEPT)
-    except (cbor2.CBORDecodeError, msgspec.ValidationError) as exc:
-        raise _malformed(str(exc)) from exc
-    return _config_of(loaded)
+    return _config_of(record.load(body, _Body))
 
 
 @final
@@ -198,10 +189,6 @@
     )
 
 
-def _dump(struct: msgspec.Struct) -> bytes:
-    return cbor2.dumps(msgspec.to_builtins(struct, builtin_types=_KEPT))
-
-
 def _malformed(why: str) -> errors.ChangeError:
     return errors.ChangeError(
         f"snapshot cannot be used ({why})",
--- a/src/lugcross/demo/calls.py
+++ b/src/lugcross/demo/calls.py
@@ -43,10 +43,22 @@
 
 @final
 class Sender:
-    """Sends requests to entry hosts with one workspace's key."""
+    """Sends requests to entry hosts with one workspace's key.
 
-    def __init__(self, key: str) -> None:
+    :param model: model service to ask.
+    :param ledger: plain service to call.
+    """
+
+    def __init__(
+        self,
+        key: str,
+        *,
+        model: str = fleet_lib.MODEL,
+        ledger: str = fleet_lib.LEDGER,
+    ) -> None:
         self._key = key
+        self._model = model
+        self._ledger = ledger
         self._pool = urllib3.PoolManager(retries=False, maxsize=64)
 
     def complete(
@@ -54,7 +66,7 @@
     ) -> Result:
         """Ask the model and check that the answer is whole."""
         fields = {
-            "model": fleet_lib.MODEL,
+            "model": self._model,
             "prompt": prompt,
             "max_tokens": tokens,
             "stream": stream,
@@ -89,7 +101,7 @@
         began = time.monotonic()
         resp = self._send(
             "POST",
-            f"{url}/services/{fleet_lib.LEDGER}/charges",
+            f"{url}/services/{self._ledger}/charges",
             body,
             {"Idempotency-Key": key},
         )
--- a/src/lugcross/membership/duties.py
+++ b/src/lugcross/membership/duties.py
@@ -13,11 +13,11 @@
 from typing import final
 from typing import NewType
 
-import cbor2
 import msgspec
 
 from lugcross import errors
 from lugcross import ids
+from lugcross import record
 from lugcross import routing
 
 #: Name of the stream that carries claims of duties.
@@ -55,7 +55,7 @@
 
 def encode(claim: DutyClaim) -> bytes:
     """Return the record that carries ``claim``."""
-    return cbor2.dumps(msgspec.to_builtins(claim))
+    return record.dump(claim)
 
 
 def decode(data: bytes) -> DutyClaim:
@@ -63,13 +63,7 @@
 
     :raises errors.ChangeError: when it is malformed.
     """
-    try:
-        return msgspec.convert(cbor2.loads(data), DutyClaim)
-    except (cbor2.CBORDecodeError, msgspec.ValidationError) as exc:
-        raise errors.ChangeError(
-            f"claim of a duty is malformed ({exc})",
-            remedy="find the writer in the log; the record has no effect",
-        ) from exc
+    return record.load(data, DutyClaim)
 
 
 @final
--- a/testing/agent/test_dispatcher.py
+++ b/testing/agent/test_dispatcher.py
@@ -13,6 +13,7 @@
 from lugcross.agent import claims
 from lugcross.agent import dispatcher as dispatcher_lib
 from lugcross.agent import events
+from lugcross.agent import kept
 from lugcross import clock as clock_lib
 from lugcross import errors
 from lugcross import ids
@@ -340,6 +341,22 @@
     assert fail.kind is errors.RefusalKind.ONCE_UNAVAILABLE
 
 
+def test_oldest_answers_go_first_and_their_keys_are_not_run_again(
+    disp: agent.Dispatcher, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    answers = kept.KeptAnswers(most_bytes=10)
+    monkeypatch.setattr(disp, "_kept", answers)
+    for num in (1, 2):
+        run_keyed(disp, num, key=f"k{num}")
+        disp.on_runner(f"u{num}", events.GotEvents((b"x" * 8,)), NOW)
+        disp.on_runner(f"u{num}", events.GotEnd(), NOW)
+    disp.on_tick(dispatcher_lib.LINGER + datetime.timedelta(seconds=1))
+    assert answers.get("u1") is None
+    assert answers.get("u2") is not None
+    gone = failure(disp.on_message(L2, dispatch(3, once_key="k1"), NOW), L2)
+    assert (gone.kind.value, gone.outcome.value) == ("key-lost", "ran")
+
+
 class DispatcherMachine(stateful.RuleBasedStateMachine):
     """Any order of dispatch, answer, loss, repeat, cancel and time.
 
--- a/testing/test_processes.py
+++ b/testing/test_processes.py
@@ -10,8 +10,6 @@
 import pytest
 
 from lugcross import demo
-from lugcross.demo import calls
-from lugcross.demo import fleet as demo_fleet
 import procs
 
 
@@ -29,11 +27,9 @@
 
 
 @pytest.fixture
-def sender(fleet: procs.Fleet, monkeypatch: pytest.MonkeyPatch) -> demo.Sender:
+def sender(fleet: procs.Fleet) -> demo.Sender:
     """A caller with the fleet's workspace key."""
-    monkeypatch.setattr(demo_fleet, "MODEL", procs.MODEL)
-    monkeypatch.setattr(demo_fleet, "LEDGER", procs.LEDGER)
-    return calls.Sender(fleet.key)
+    return fleet.sender()
 
 
 @pytest.mark.parametrize("stream", [True, False], ids=["stream", "whole"])
--- a/testing/test_promises.py
+++ b/testing/test_promises.py
@@ -15,7 +15,6 @@
 from lugcross import cfg
 from lugcross import demo
 from lugcross.demo import calls
-from lugcross.demo import fleet as demo_fleet
 from lugcross import platform
 import procs
 
@@ -49,11 +48,9 @@
 
 
 @pytest.fixture
-def sender(fleet: procs.Fleet, monkeypatch: pytest.MonkeyPatch) -> demo.Sender:
+def sender(fleet: procs.Fleet) -> demo.Sender:
     """A caller with the fleet's workspace key."""
-    monkeypatch.setattr(demo_fleet, "MODEL", procs.MODEL)
-    monkeypatch.setattr(demo_fleet, "LEDGER", procs.LEDGER)
-    return calls.Sender(fleet.key)
+    return fleet.sender()
 
 
 @pytest.fixture
@@ -419,7 +416,7 @@
     keys: list[str] = []
 
     def call_on(num: int) -> None:
-        own = calls.Sender(fleet.key)
+        own = fleet.sender()
         for count in range(100_000):
             if stop.is_set():
                 return
