--- a/bench/once.py
+++ b/bench/once.py
@@ -42,7 +42,7 @@
         incarnation = ids.Incarnation(name)
         self._claimer = claimer_lib.Claimer(
             platform.HttpLog(url, timeout_s=5),
-            claims.Ledger(backend, incarnation),
+            claims.ClaimIndex(backend, incarnation),
             self._decide,
             backend=backend,
             incarnation=incarnation,
@@ -134,7 +134,7 @@
 
 
 def _memory() -> dict[str, Any]:
-    ledger = claims.Ledger(ids.BackendName("a"), ids.Incarnation("a"))
+    index = claims.ClaimIndex(ids.BackendName("a"), ids.Incarnation("a"))
     count = iter(range(1_000_000))
     now = clock.seconds(0)
 
@@ -144,8 +144,8 @@
         batch = claims.Batch(
             ids.BackendName("a"), ids.Incarnation("a"), (claim,)
         )
-        ledger.apply(ids.Offset(num + 1), batch, now)
-        ledger.rule(claim)
+        index.apply(ids.Offset(num + 1), batch, now)
+        index.rule(claim)
 
     each = slopes.seconds_each(one, count=5000)
     return {"median_ms": each * _MILLI, "appends_a_s": 0.0}
--- a/src/lugcross/agent/app.py
+++ b/src/lugcross/agent/app.py
@@ -94,7 +94,7 @@
         backend = ids.BackendName(self._settings.backend)
         return claimer_lib.Claimer(
             platform.HttpLog(where.log, timeout_s=where.timeout_s),
-            claims.Ledger(backend, self.incarnation),
+            claims.ClaimIndex(backend, self.incarnation),
             self._decide,
             backend=backend,
             incarnation=self.incarnation,
--- a/src/lugcross/agent/claimer.py
+++ b/src/lugcross/agent/claimer.py
@@ -51,7 +51,7 @@
     def __init__(
         self,
         log: platform.Log,
-        ledger: claims.Ledger,
+        index: claims.ClaimIndex,
         decide: Decide,
         *,
         backend: ids.BackendName,
@@ -60,7 +60,7 @@
         poll_s: float,
     ) -> None:
         self._log = log
-        self._ledger = ledger
+        self._index = index
         self._decide = decide
         self._backend = backend
         self._incarnation = incarnation
@@ -102,7 +102,7 @@
         with self._changed:
             now = self._clock.monotonic()
             self._waiting[uid] = _Waiting(uid, claim, now)
-            if self._ledger.rule(claim) is None:
+            if self._index.rule(claim) is None:
                 self._unsent[claim.key] = claim
             self._changed.notify_all()
         self._settle()
@@ -186,15 +186,15 @@
                 self._pause()
 
     def _read(self) -> None:
-        start = ids.Offset(self._ledger.offset + 1)
+        start = ids.Offset(self._index.offset + 1)
         wait_s = self._poll_s if self._caught_up else 0.0
         batch = self._log.read(claims.STREAM, start, wait_s=wait_s)
         with self._changed:
             now = self._clock.monotonic()
             for record in batch.records:
-                self._ledger.apply(record.offset, _decode(record), now)
-            self._ledger.expire(now)
-            if self._ledger.offset + 1 >= batch.end:
+                self._index.apply(record.offset, _decode(record), now)
+            self._index.expire(now)
+            if self._index.offset + 1 >= batch.end:
                 self._caught_up = True
             self._changed.notify_all()
         self._settle()
@@ -206,7 +206,7 @@
         """
         batch = self._log.read(claims.STREAM, ids.Offset(1 << 62))
         with self._changed:
-            self._ledger.start_at(batch.first)
+            self._index.start_at(batch.first)
 
     def _give_up_on(self) -> None:
         while not self._stopping:
@@ -218,7 +218,7 @@
         decided = []
         with self._changed:
             for one in list(self._waiting.values()):
-                ruling = self._ledger.rule(one.claim)
+                ruling = self._index.rule(one.claim)
                 if ruling is not None:
                     decided.append((one.uid, ruling))
                     del self._waiting[one.uid]
--- a/src/lugcross/agent/claims.py
+++ b/src/lugcross/agent/claims.py
@@ -103,7 +103,7 @@
 
 
 @final
-class Ledger:
+class ClaimIndex:
     """The claims in the log, as far as they were read.
 
     :param incarnation: of this agent; its own claims let it run.
--- a/src/lugcross/shares/queue.py
+++ b/src/lugcross/shares/queue.py
@@ -34,7 +34,7 @@
 
 
 @final
-class _Lane:
+class _Flow:
     """Tags of one group or workspace in the virtual time of its level."""
 
     def __init__(self) -> None:
@@ -54,9 +54,9 @@
 @final
 class _Group:
     def __init__(self) -> None:
-        self.lane = _Lane()
+        self.flow = _Flow()
         self.virtual = 0.0
-        self.lanes: dict[ids.WorkspaceName, _Lane] = {}
+        self.flows: dict[ids.WorkspaceName, _Flow] = {}
         self.waiting: dict[ids.WorkspaceName, collections.deque[Ticket]] = {}
 
 
@@ -81,11 +81,11 @@
         """Let ``ticket`` wait for its turn."""
         group = self._groups.setdefault(ticket.group, _Group())
         if not group.waiting:
-            group.lane.wake(self._virtual)
-        lane = group.lanes.setdefault(ticket.workspace, _Lane())
+            group.flow.wake(self._virtual)
+        flow = group.flows.setdefault(ticket.workspace, _Flow())
         line = group.waiting.get(ticket.workspace)
         if line is None:
-            lane.wake(group.virtual)
+            flow.wake(group.virtual)
             line = group.waiting[ticket.workspace] = collections.deque()
         line.append(ticket)
         self._tickets[ticket.uid] = ticket
@@ -95,18 +95,18 @@
         """Take the ticket whose turn it is and charge its estimate."""
         name = min(
             (name for name, group in self._groups.items() if group.waiting),
-            key=lambda name: self._groups[name].lane.start,
+            key=lambda name: self._groups[name].flow.start,
             default=None,
         )
         if name is None:
             return None
         group = self._groups[name]
-        space = min(group.waiting, key=lambda name: group.lanes[name].start)
+        space = min(group.waiting, key=lambda name: group.flows[name].start)
         ticket = group.waiting[space][0]
-        self._virtual = group.lane.start
-        group.virtual = group.lanes[space].start
-        group.lane.charge(ticket.cost / self._weight(name))
-        group.lanes[space].charge(float(ticket.cost))
+        self._virtual = group.flow.start
+        group.virtual = group.flows[space].start
+        group.flow.charge(ticket.cost / self._weight(name))
+        group.flows[space].charge(float(ticket.cost))
         self._forget(ticket)
         return ticket
 
@@ -127,10 +127,10 @@
         if group is None:
             return
         error = used - ticket.cost
-        _correct(group.lane, error / self._weight(ticket.group), group.waiting)
-        lane = group.lanes.get(ticket.workspace)
-        if lane is not None:
-            _correct(lane, float(error), ticket.workspace in group.waiting)
+        _correct(group.flow, error / self._weight(ticket.group), group.waiting)
+        flow = group.flows.get(ticket.workspace)
+        if flow is not None:
+            _correct(flow, float(error), ticket.workspace in group.waiting)
 
     def _forget(self, ticket: Ticket) -> None:
         del self._tickets[ticket.uid]
@@ -142,10 +142,10 @@
             del group.waiting[ticket.workspace]
 
 
-def _correct(lane: _Lane, amount: float, backlogged: object) -> None:
+def _correct(flow: _Flow, amount: float, backlogged: object) -> None:
     if backlogged:
-        lane.charge(amount)
+        flow.charge(amount)
     else:
         # Kept until it wakes: short requests sent one by one would
         # otherwise escape the correction.
-        lane.debt = max(0.0, lane.debt + amount)
+        flow.debt = max(0.0, flow.debt + amount)
--- a/testing/agent/test_claims.py
+++ b/testing/agent/test_claims.py
@@ -19,8 +19,8 @@
 KEY = claims.Claim(b"k" * 16, b"b" * 8)
 
 
-def ledger(backend: str, life: str = "1") -> claims.Ledger:
-    return claims.Ledger(
+def index(backend: str, life: str = "1") -> claims.ClaimIndex:
+    return claims.ClaimIndex(
         ids.BackendName(backend), ids.Incarnation(f"{backend}-{life}")
     )
 
@@ -33,13 +33,13 @@
     )
 
 
-def ruled(reader: claims.Ledger, claim: claims.Claim = KEY) -> str:
+def ruled(reader: claims.ClaimIndex, claim: claims.Claim = KEY) -> str:
     ruling = reader.rule(claim)
     return ruling.verdict.value if ruling else "open"
 
 
 def test_first_claim_in_the_log_counts_for_every_reader() -> None:
-    readers = [ledger("a"), ledger("b"), ledger("a", "2")]
+    readers = [index("a"), index("b"), index("a", "2")]
     for reader in readers:
         reader.apply(ids.Offset(1), batch("a", "1", KEY), NOW)
         reader.apply(ids.Offset(2), batch("b", "1", KEY), NOW)
@@ -51,18 +51,18 @@
 
 
 def test_claim_of_a_key_for_another_body_is_told_apart() -> None:
-    reader = ledger("a")
+    reader = index("a")
     reader.apply(ids.Offset(1), batch("a", "1", KEY), NOW)
     assert ruled(reader, claims.Claim(KEY.key, b"x" * 8)) == "other-body"
 
 
 def test_gap_in_the_stream_is_detected() -> None:
     with pytest.raises(errors.ReplayGapError):
-        ledger("a").apply(ids.Offset(2), batch("a", "1", KEY), NOW)
+        index("a").apply(ids.Offset(2), batch("a", "1", KEY), NOW)
 
 
 def test_claims_are_forgotten_after_their_time_and_not_before() -> None:
-    reader = ledger("a")
+    reader = index("a")
     reader.apply(ids.Offset(1), batch("b", "1", KEY), NOW)
     reader.expire(claims.KEPT)
     assert ruled(reader) == "taken"
@@ -92,7 +92,7 @@
         self.decided: list[tuple[str, claims.Ruling]] = []
         self.claimer = claimer_lib.Claimer(
             log,
-            ledger(name, str(life)),
+            index(name, str(life)),
             lambda uid, ruling: self.decided.append((uid, ruling)),
             backend=ids.BackendName(name),
             incarnation=ids.Incarnation(f"{name}-{life}"),
