Let edge processes tell each other what they have in progress

Cause: each process counted only its own requests, so that all together filled every engine and its queue: passes outlasted the longest pause that a stream may have, 68 of 79 requests in a window were late. Change: datagrams with the requests in progress and how new each one's knowledge is; engines count as full at two thirds of their slots; a process that loses the store asks the peer that knows most; requests that come late in a stop are refused as not run.

--- a/src/lugcross/edge/admission.py
+++ b/src/lugcross/edge/admission.py
@@ -9,7 +9,7 @@
 #: work is short, so that a short queue is served in time.
 _PLAIN_FULL = 3.0
 #: Requests per slot past which a model engine is full.
-_ENGINE_FULL = 1.0
+_ENGINE_FULL = 0.67
 
 
 def admit(
--- a/src/lugcross/edge/app.py
+++ b/src/lugcross/edge/app.py
@@ -2,9 +2,11 @@
 """The edge process: owns its servers, followers and connections."""
 
 import asyncio
+from collections.abc import Coroutine
 import datetime
 import random
 import signal
+from typing import Any
 from typing import final
 
 from absl import logging
@@ -12,6 +14,8 @@
 from lugcross import clock as clock_lib
 from lugcross import desired
 from lugcross.edge import follow
+from lugcross.edge import knowledge as knowledge_lib
+from lugcross.edge import peers as peers_lib
 from lugcross.edge import ready as ready_lib
 from lugcross.edge import runner as runner_lib
 from lugcross.edge import settings as settings_lib
@@ -30,13 +34,15 @@
 _DESIRED_GAP = datetime.timedelta(milliseconds=100)
 #: Part of the drain bound between two reads of the backend servers.
 _BACKENDS_PART = 0.4
-#: Time between two rounds of tidying.
+#: Time between two rounds of tidying, in seconds.
 _SWEEP_S = 1.0
 #: Part of the grace after which whatever is left is cut.
 _GRACE_PART = 0.95
-#: Rest after a stop signal during which the platform's balancer notices
-#: and callers with open connections may still send.
-_NOTICE_S = 3.0
+#: Rest after a stop signal during which the platform's balancer notices;
+#: requests that come later on open connections are refused.
+_NOTICE = datetime.timedelta(seconds=3)
+#: Time between two looks at what is left to finish, in seconds.
+_DRAIN_LOOK_S = 0.05
 _BACKLOG = 1024
 #: Bounds for callers until a desired state tells them.
 _FIRST_LIMITS = desired.Limits(
@@ -63,13 +69,21 @@
         self._file = file
         rng = random.Random()
         self.world = world_lib.World(settings, clock=clock, rng=rng)
-        self._runner = runner_lib.Runner(self.world, clock=clock, rng=rng)
         self._store = platform.StoreClient(
             settings.store.address, timeout=_STORE_TIMEOUT
         )
-        self._trouble = follow.Trouble(clock)
+        self.knowledge = knowledge_lib.Knowledge(
+            settings, self.world, self._store, clock=clock
+        )
+        self._runner = runner_lib.Runner(
+            self.world,
+            closed=self._closed,
+            changed=self.knowledge.peers.changed,
+            clock=clock,
+            rng=rng,
+        )
         self._conns: set[http1.ServerConn] = set()
-        self._leaving = False
+        self._leaving_since: clock_lib.Instant | None = None
         self._stop = asyncio.Event()
 
     def run(self) -> None:
@@ -81,30 +95,34 @@
         for num in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(num, self._ask_stop)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
-        host, port = _address(self._settings.listen.callers)
-        server = await asyncio.start_server(
-            self._serve, host, port, backlog=_BACKLOG
-        )
-        ready_server = await asyncio.start_server(
-            self._serve_ready, *_address(self._settings.listen.ready)
-        )
+        listen = self._settings.listen
+        await self.knowledge.start()
+        servers = [
+            await asyncio.start_server(
+                self._serve, *_address(listen.callers), backlog=_BACKLOG
+            ),
+            await asyncio.start_server(
+                self._serve_ready, *_address(listen.ready)
+            ),
+        ]
         tasks = [asyncio.create_task(one) for one in self._loops()]
         logging.info("started", extra={"domain": self._settings.domain})
         try:
             await self._stop.wait()
             await self._drain()
         finally:
-            server.close()
-            ready_server.close()
+            for server in servers:
+                server.close()
             for task in tasks:
                 task.cancel()
+            self.knowledge.close()
             self._store.close()
             self.world.pool.close()
             logging.info("stopped")
 
     def unready(self) -> str:
         """Return why no new connections should come here, or nothing."""
-        if self._leaving:
+        if self._leaving_since is not None:
             return "this process is being stopped"
         if self.world.desired is None:
             return "no desired state is known yet"
@@ -112,51 +130,34 @@
             return "no backend server is known yet"
         return ""
 
-    def _loops(self) -> list:
+    def _loops(self) -> list[Coroutine[Any, Any, None]]:
         heartbeat = datetime.timedelta(
             milliseconds=self._settings.store.heartbeat_ms
         )
         drain_gap = self._settings.bounds.drain * _BACKENDS_PART
-        following = (
-            follow.Follower(
-                self._store,
-                platform.OPERATOR_TOPIC,
-                self._take_desired,
-                self._trouble,
-                gap=_DESIRED_GAP,
-                wait=_DESIRED_WAIT,
-            ),
-            follow.Follower(
-                self._store,
-                platform.BACKENDS_TOPIC,
-                self._take_backends,
-                self._trouble,
-                gap=min(drain_gap, heartbeat),
-                wait=datetime.timedelta(),
-            ),
+        known = self.knowledge
+        desired_follower = follow.Follower(
+            self._store,
+            platform.OPERATOR_TOPIC,
+            known.take_desired,
+            known.trouble,
+            gap=_DESIRED_GAP,
+            wait=_DESIRED_WAIT,
+        )
+        backends_follower = follow.Follower(
+            self._store,
+            platform.BACKENDS_TOPIC,
+            known.take_backends,
+            known.trouble,
+            gap=min(drain_gap, heartbeat),
+            wait=datetime.timedelta(),
         )
-        return [one.run() for one in following] + [self._sweep()]
-
-    def _take_desired(self, tail: platform.Tail, newest: bool) -> None:
-        del newest
-        for record in tail.records:
-            if record.key != platform.DESIRED_KEY or not record.value:
-                continue
-            try:
-                state = platform.read_desired(record.value)
-            except errors.ChangeError as exc:
-                logging.error("desired state kept out", extra={"why": str(exc)})
-                continue
-            self.world.adopt(state, record.value)
-
-    def _take_backends(self, tail: platform.Tail, newest: bool) -> None:
-        bounds = self._settings.bounds
-        contact = datetime.timedelta(milliseconds=bounds.contact_ms)
-        away = self._trouble.within(contact)
-        if newest:
-            self.world.backends.replace(tail, store_was_away=away)
-        else:
-            self.world.backends.apply(tail, store_was_away=away)
+        return [
+            desired_follower.run(),
+            backends_follower.run(),
+            known.run(),
+            self._sweep(),
+        ]
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -166,7 +167,7 @@
             writer,
             self._runner.handle,
             limits=self._limits,
-            leaving=lambda: self._leaving,
+            leaving=lambda: self._leaving_since is not None,
             clock=self._clock,
         )
         self._conns.add(conn)
@@ -183,7 +184,7 @@
             writer,
             ready_lib.handler(self.unready),
             limits=lambda: _FIRST_LIMITS,
-            leaving=lambda: self._leaving,
+            leaving=lambda: self._leaving_since is not None,
             clock=self._clock,
         )
         await conn.run()
@@ -192,6 +193,11 @@
         state = self.world.desired
         return state.limits if state else _FIRST_LIMITS
 
+    def _closed(self) -> bool:
+        """Tell whether new requests can no longer be finished here."""
+        since = self._leaving_since
+        return since is not None and self._clock.monotonic() - since > _NOTICE
+
     async def _sweep(self) -> None:
         while True:
             await asyncio.sleep(_SWEEP_S)
@@ -199,17 +205,17 @@
 
     async def _drain(self) -> None:
         """Let the balancer notice, then finish what is held."""
-        loop = asyncio.get_running_loop()
-        self._leaving = True
-        begun = loop.time()
-        end = begun + self._settings.bounds.grace.total_seconds() * _GRACE_PART
-        while loop.time() < end:
-            if loop.time() > begun + _NOTICE_S:
+        begun = self._clock.monotonic()
+        self._leaving_since = begun
+        self.knowledge.leave()
+        end = begun + self._settings.bounds.grace * _GRACE_PART
+        while self._clock.monotonic() < end:
+            if self._closed():
                 for conn in list(self._conns):
                     conn.close_if_idle()
                 if not self._conns:
                     break
-            await asyncio.sleep(0.05)
+            await asyncio.sleep(_DRAIN_LOOK_S)
         logging.info("drained", extra={"left": len(self._conns)})
 
     def _ask_stop(self) -> None:
--- /dev/null
+++ b/src/lugcross/edge/knowledge.py
@@ -0,0 +1,234 @@
+# SPDX-License-Identifier: Apache-2.0
+"""Where a process's knowledge comes from: the store, and peers."""
+
+import asyncio
+import datetime
+import random
+from typing import final
+
+from absl import logging
+
+from lugcross import clock as clock_lib
+from lugcross import desired
+from lugcross.edge import follow
+from lugcross.edge import peers as peers_lib
+from lugcross.edge import settings as settings_lib
+from lugcross.edge import world as world_lib
+from lugcross import errors
+from lugcross import ids
+from lugcross import platform
+
+#: Time between two looks whether a peer knows more, in seconds.
+_LOOK_S = 0.25
+#: How long a process that knows nothing yet leaves the seeds alone: the
+#: store usually answers at once.
+_SEEDS_AFTER_S = 0.5
+#: Time between two tries to register while the store is away, seconds.
+_REGISTER_S = 2.0
+
+
+@final
+class Knowledge:
+    """Puts what the store and the peers tell into the world."""
+
+    def __init__(
+        self,
+        settings: settings_lib.Settings,
+        world: world_lib.World,
+        store: platform.StoreClient,
+        *,
+        clock: clock_lib.Clock,
+    ) -> None:
+        self._settings = settings
+        self._world = world
+        self._store = store
+        self._clock = clock
+        self._incarnation = peers_lib.new_incarnation()
+        self._leaving = False
+        self._asking = False
+        self.trouble = follow.Trouble(clock)
+        self.peers = peers_lib.Peers(
+            self._tell,
+            self._heard,
+            own=settings.listen.peers,
+            clock=clock,
+        )
+        self._server = peers_lib.StateServer(self._answer)
+
+    async def start(self) -> None:
+        """Listen for peers."""
+        host, _, port = self._settings.listen.state.rpartition(":")
+        await self._server.start(host, int(port))
+        host, _, port = self._settings.listen.peers.rpartition(":")
+        loop = asyncio.get_running_loop()
+        await loop.create_datagram_endpoint(
+            lambda: self.peers, local_addr=(host, int(port))
+        )
+        for seed in self._settings.seeds:
+            # Ports are the same on all machines.
+            self.peers.add(f"{seed.rpartition(':')[0]}:{port}")
+
+    async def run(self) -> None:
+        """Register, and ask peers whenever the store does not answer."""
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(self.peers.run())
+            tasks.create_task(self._register())
+            tasks.create_task(self._ask_when_lost())
+
+    def leave(self) -> None:
+        """Tell the peers that this process is being stopped."""
+        self._leaving = True
+        self.peers.changed()
+
+    def close(self) -> None:
+        """Stop listening."""
+        self.peers.tell_now()
+        self._server.close()
+
+    def take_desired(self, tail: platform.Tail, newest: bool) -> None:
+        """Take over records of the operator."""
+        del newest
+        for record in tail.records:
+            if record.key == platform.DESIRED_KEY and record.value:
+                self._adopt(record.value)
+
+    def take_backends(self, tail: platform.Tail, newest: bool) -> None:
+        """Take over records of backend servers."""
+        contact = datetime.timedelta(
+            milliseconds=self._settings.bounds.contact_ms
+        )
+        away = self.trouble.within(contact)
+        if newest:
+            self._world.backends.replace(tail, store_was_away=away)
+        else:
+            self._world.backends.apply(tail, store_was_away=away)
+
+    def _adopt(self, record: bytes) -> None:
+        try:
+            state = platform.read_desired(record)
+        except errors.ChangeError as exc:
+            logging.error("desired state kept out", extra={"why": str(exc)})
+            return
+        if self._world.adopt(state, record):
+            self.peers.changed()
+
+    def _tell(self, known: list[str]) -> peers_lib.Beat:
+        _, _, port = self._settings.listen.state.rpartition(":")
+        state = self._world.desired
+        return peers_lib.Beat(
+            node=self._settings.node,
+            incarnation=self._incarnation,
+            domain=self._settings.domain,
+            state_port=int(port),
+            leaving=self._leaving,
+            version=state.version if state else 0,
+            end=self._world.backends.end,
+            running={
+                str(key): count
+                for key, count in self._world.loads.own().items()
+            },
+            known=known,
+        )
+
+    def _heard(self, peer: peers_lib.Peer) -> None:
+        beat = peer.beat
+        if beat is None:
+            return
+        running = {
+            desired.BackendKey(key): count
+            for key, count in beat.running.items()
+        }
+        self._world.loads.peer_told(beat.node, running)
+
+    def _answer(self, ask: peers_lib.Ask) -> peers_lib.State:
+        state = self._world.desired
+        newer = state is not None and state.version > ask.version
+        return peers_lib.State(
+            desired=self._world.desired_record if newer else b"",
+            end=self._world.backends.end,
+            rows=[
+                peers_lib.Row(row.key, row.offset, row.value)
+                for row in self._world.backends.records.values()
+                if row.offset >= ask.end
+            ],
+        )
+
+    async def _register(self) -> None:
+        """Tell where this process is, and learn where others are."""
+        own = self._settings.listen.peers
+        while True:
+            try:
+                await self._store.put(
+                    platform.NODES_TOPIC, self._settings.node, own.encode()
+                )
+                tail = await self._store.newest(platform.NODES_TOPIC)
+            except errors.PlatformError as exc:
+                logging.warning("not registered", extra={"why": str(exc)})
+                await asyncio.sleep(_REGISTER_S * random.uniform(0.5, 1.0))
+                continue
+            values = [record.value for record in tail.records]
+            for address in peers_lib.node_addresses(values):
+                self.peers.add(address)
+            self.peers.changed()
+            return
+
+    async def _ask_when_lost(self) -> None:
+        await asyncio.sleep(_SEEDS_AFTER_S)
+        if self._world.desired is None:
+            await self._ask_seeds()
+        while True:
+            await asyncio.sleep(_LOOK_S)
+            if self.trouble.now:
+                await self._ask_best()
+
+    async def _ask_seeds(self) -> None:
+        for seed in self._settings.seeds:
+            host, _, port = seed.rpartition(":")
+            if seed != self._settings.listen.state:
+                await self._ask(host, int(port))
+
+    async def _ask_best(self) -> None:
+        """Ask the live peer that knows most, if it knows more."""
+        state = self._world.desired
+        own = (state.version if state else 0, self._world.backends.end)
+        best = max(
+            (peer for peer in self.peers.live() if peer.beat),
+            key=_newness,
+            default=None,
+        )
+        if best is None or best.beat is None:
+            return
+        if best.beat.version > own[0] or best.beat.end > own[1]:
+            await self._ask(best.host, best.beat.state_port)
+
+    async def _ask(self, host: str, port: int) -> None:
+        state = self._world.desired
+        question = peers_lib.Ask(
+            state.version if state else 0, self._world.backends.end
+        )
+        answer = await peers_lib.ask(host, port, question)
+        if answer is None:
+            return
+        logging.info(
+            "peer told",
+            extra={
+                "peer": host,
+                "desired": bool(answer.desired),
+                "rows": len(answer.rows),
+                "end": answer.end,
+            },
+        )
+        if answer.desired:
+            self._adopt(answer.desired)
+        rows = tuple(
+            platform.KeyedRecord(ids.Offset(row.offset), row.key, row.value)
+            for row in answer.rows
+        )
+        tail = platform.Tail(end=ids.Offset(answer.end), records=rows)
+        self._world.backends.apply(tail, store_was_away=True)
+
+
+def _newness(peer: peers_lib.Peer) -> tuple[int, int]:
+    if peer.beat is None:
+        return 0, 0
+    return peer.beat.version, peer.beat.end
--- /dev/null
+++ b/src/lugcross/edge/peers.py
@@ -0,0 +1,309 @@
+# SPDX-License-Identifier: Apache-2.0
+"""What edge processes tell each other, by datagrams and on request.
+
+Datagrams carry what is stale at once: requests in progress, and how new
+each process's knowledge is. A lost one is replaced by the next, and a
+peer that is cut off holds nobody up. Whoever finds that a peer knows
+more, while the store does not answer, asks that peer over a WebSocket.
+"""
+
+import asyncio
+from collections.abc import Callable
+import dataclasses
+import datetime
+from typing import cast
+from typing import final
+
+from absl import logging
+import cbor2
+import msgspec
+from websockets.asyncio import client as ws_client
+from websockets.asyncio import server as ws_server
+from websockets import exceptions as ws_exceptions
+
+from lugcross import clock as clock_lib
+from lugcross import ids
+
+#: Shortest time between two datagrams to one peer; news in between wait
+#: for the next. A small part of a stream's life.
+_SPACING = datetime.timedelta(milliseconds=50)
+#: Longest time between two datagrams to one peer.
+_HEARTBEAT = datetime.timedelta(milliseconds=500)
+#: Silence after which a peer counts as lost; several heartbeats.
+_SILENT = datetime.timedelta(seconds=2)
+#: Silence after which a peer's address is forgotten.
+_FORGOTTEN = datetime.timedelta(seconds=60)
+#: Longest wait for a peer's answer, in seconds.
+_ASK_S = 1.0
+#: Largest answer of a peer, in bytes: a large desired state.
+_MAX_ANSWER = 16 * 1_048_576
+#: Addresses passed on in one datagram; more than that go in later ones.
+_ADDRESSES = 16
+
+
+@final
+class Beat(msgspec.Struct, frozen=True, array_like=True):
+    """One datagram.
+
+    :param incarnation: drawn anew at each start.
+    :param state_port: where the sender answers questions.
+    :param version: version of its desired state; 0 if it has none.
+    :param end: how far it has read the list of backend servers.
+    :param running: its requests in progress, by backend server.
+    :param known: addresses of peers that it knows, ``HOST:PORT``.
+    """
+
+    node: str
+    incarnation: str
+    domain: str
+    state_port: int
+    leaving: bool
+    version: int
+    end: int
+    running: dict[str, int]
+    known: list[str]
+
+
+@final
+class Ask(msgspec.Struct, frozen=True, array_like=True):
+    """Question for what is newer than this."""
+
+    version: int
+    end: int
+
+
+@final
+class Row(msgspec.Struct, frozen=True, array_like=True):
+    """Newest record of one backend server; no value if it is gone."""
+
+    key: str
+    offset: int
+    value: bytes
+
+
+@final
+class State(msgspec.Struct, frozen=True, array_like=True):
+    """Answer: the desired state's record, if newer, and newer rows."""
+
+    desired: bytes
+    end: int
+    rows: list[Row]
+
+
+@final
+@dataclasses.dataclass
+class Peer:
+    """What is known of one other process."""
+
+    host: str
+    port: int
+    beat: Beat | None = None
+    heard: clock_lib.Instant | None = None
+    added: clock_lib.Instant = datetime.timedelta()
+
+
+#: Fills in the sender's own part of a datagram.
+Teller = Callable[[list[str]], Beat]
+
+
+@final
+class Peers(asyncio.DatagramProtocol):
+    """Sends and takes datagrams; knows who is there.
+
+    :param tell: makes the datagram to send.
+    :param heard: called with each datagram of a peer.
+    """
+
+    def __init__(
+        self,
+        tell: Teller,
+        heard: Callable[[Peer], None],
+        *,
+        own: str,
+        clock: clock_lib.Clock,
+    ) -> None:
+        self._tell = tell
+        self._heard = heard
+        self._own = own
+        self._clock = clock
+        self._transport: asyncio.DatagramTransport | None = None
+        self._peers: dict[str, Peer] = {}
+        self._news = asyncio.Event()
+        self._turn = 0
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take the socket."""
+        # asyncio's own class is no subclass of the one that it documents.
+        self._transport = cast(asyncio.DatagramTransport, transport)
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        """Take a datagram; a malformed one is dropped."""
+        try:
+            beat = msgspec.convert(cbor2.loads(data), Beat)
+        except (cbor2.CBORDecodeError, msgspec.ValidationError) as exc:
+            logging.warning(
+                "bad datagram", extra={"peer": addr[0], "why": str(exc)}
+            )
+            return
+        peer = self._note(f"{addr[0]}:{addr[1]}")
+        if peer.beat is None or peer.beat.incarnation != beat.incarnation:
+            logging.info(
+                "peer", extra={"peer": beat.node, "domain": beat.domain}
+            )
+            self._news.set()
+        peer.beat = beat
+        peer.heard = self._clock.monotonic()
+        for address in beat.known:
+            self._note(address)
+        self._heard(peer)
+
+    def error_received(self, exc: Exception) -> None:
+        """Ignore what comes back of a datagram to a host that is gone."""
+        logging.debug("datagram came back", extra={"why": str(exc)})
+
+    def add(self, address: str) -> None:
+        """Note an address where a peer may be."""
+        self._note(address)
+
+    def changed(self) -> None:
+        """Note that there is news to tell soon."""
+        self._news.set()
+
+    def live(self) -> list[Peer]:
+        """Return the peers that were heard lately."""
+        now = self._clock.monotonic()
+        return [
+            peer
+            for peer in self._peers.values()
+            if peer.heard is not None and now - peer.heard < _SILENT
+        ]
+
+    async def run(self) -> None:
+        """Tell all peers again and again until cancelled."""
+        while True:
+            try:
+                async with asyncio.timeout(_HEARTBEAT.total_seconds()):
+                    await self._news.wait()
+            except TimeoutError:
+                self._forget()
+            self._news.clear()
+            self._send()
+            await asyncio.sleep(_SPACING.total_seconds())
+
+    def tell_now(self) -> None:
+        """Tell all peers at once; used for the last words."""
+        self._send()
+
+    def _send(self) -> None:
+        if self._transport is None:
+            return
+        names = list(self._peers)
+        self._turn += 1
+        start = self._turn % max(1, len(names))
+        known = (names[start:] + names[:start])[:_ADDRESSES]
+        beat = self._tell(known if self._turn % 8 == 0 else [])
+        data = cbor2.dumps(msgspec.to_builtins(beat))
+        for peer in self._peers.values():
+            self._transport.sendto(data, (peer.host, peer.port))
+
+    def _note(self, address: str) -> Peer:
+        found = self._peers.get(address)
+        if found is not None:
+            return found
+        host, _, port = address.rpartition(":")
+        peer = Peer(host, int(port), added=self._clock.monotonic())
+        if address != self._own:
+            self._peers[address] = peer
+        return peer
+
+    def _forget(self) -> None:
+        now = self._clock.monotonic()
+        for address, peer in list(self._peers.items()):
+            if now - (peer.heard or peer.added) > _FORGOTTEN:
+                del self._peers[address]
+
+
+@final
+class StateServer:
+    """Answers peers that ask for newer state.
+
+    :param answer: what is newer than a question names.
+    """
+
+    def __init__(self, answer: Callable[[Ask], State]) -> None:
+        self._answer = answer
+        self._server: ws_server.Server | None = None
+
+    async def start(self, host: str, port: int) -> None:
+        """Listen."""
+        self._server = await ws_server.serve(
+            self._serve, host, port, max_size=4096, compression=None
+        )
+
+    def close(self) -> None:
+        """Stop listening."""
+        if self._server is not None:
+            self._server.close()
+
+    async def _serve(self, conn: ws_server.ServerConnection) -> None:
+        try:
+            async for frame in conn:
+                ask = msgspec.convert(cbor2.loads(_as_bytes(frame)), Ask)
+                state = msgspec.to_builtins(
+                    self._answer(ask), builtin_types=(bytes,)
+                )
+                await conn.send(cbor2.dumps(state))
+        except (
+            cbor2.CBORDecodeError,
+            msgspec.ValidationError,
+            ws_exceptions.ConnectionClosed,
+        ) as exc:
+            logging.warning("bad question", extra={"why": str(exc)})
+
+
+async def ask(host: str, port: int, question: Ask) -> State | None:
+    """Return what a peer knows beyond ``question``; none if it is away."""
+    try:
+        async with asyncio.timeout(_ASK_S):
+            async with ws_client.connect(
+                f"ws://{host}:{port}/",
+                max_size=_MAX_ANSWER,
+                compression=None,
+                proxy=None,
+            ) as conn:
+                await conn.send(cbor2.dumps(msgspec.to_builtins(question)))
+                frame = _as_bytes(await conn.recv())
+        return msgspec.convert(
+            cbor2.loads(frame), State, builtin_types=(bytes,)
+        )
+    except (
+        OSError,
+        TimeoutError,
+        cbor2.CBORDecodeError,
+        msgspec.ValidationError,
+        ws_exceptions.WebSocketException,
+    ) as exc:
+        logging.warning(
+            "peer did not answer", extra={"peer": host, "why": str(exc)}
+        )
+        return None
+
+
+def node_addresses(records: list[bytes]) -> list[str]:
+    """Return the addresses in the records by which processes register."""
+    found = []
+    for record in records:
+        text = record.decode("ascii", "replace")
+        host, _, port = text.rpartition(":")
+        if host and port.isdigit():
+            found.append(text)
+    return found
+
+
+def new_incarnation() -> str:
+    """Return a fresh name for this life of the process."""
+    return ids.new_token()
+
+
+def _as_bytes(frame: str | bytes) -> bytes:
+    return frame.encode() if isinstance(frame, str) else frame
--- a/src/lugcross/edge/runner.py
+++ b/src/lugcross/edge/runner.py
@@ -2,6 +2,7 @@
 """Carries one request: checks it, sends it, passes the answer on."""
 
 import asyncio
+from collections.abc import Callable
 import dataclasses
 import random
 from typing import final
@@ -23,16 +24,24 @@
 
 @final
 class Runner:
-    """Serves requests from what the process believes of the world."""
+    """Serves requests from what the process believes of the world.
+
+    :param closed: whether new requests can no longer be finished here.
+    :param changed: called when requests in progress have changed.
+    """
 
     def __init__(
         self,
         world: world_lib.World,
         *,
+        closed: Callable[[], bool],
+        changed: Callable[[], None],
         clock: clock_lib.Clock,
         rng: random.Random,
     ) -> None:
         self._world = world
+        self._closed = closed
+        self._changed = changed
         self._clock = clock
         self._rng = rng
 
@@ -43,7 +52,9 @@
         head = platform.read_caller_head(req.headers)
         try:
             plan = self._plan(req, head)
-            await _Run(self._world, self._clock, exchange, plan).run()
+            await _Run(
+                self._world, self._clock, exchange, plan, self._changed
+            ).run()
         except refusal.RefusedError as exc:
             self._log_refusal(head, exc)
             if exchange.started:
@@ -55,6 +66,8 @@
     def _plan(
         self, req: http1.Request, head: platform.CallerHead
     ) -> attempt_lib.Plan:
+        if self._closed():
+            raise refusal.not_ready("this process is being stopped")
         state = self._world.desired
         if state is None:
             raise refusal.not_ready("no desired state is known yet")
@@ -126,10 +139,12 @@
         clock: clock_lib.Clock,
         exchange: http1.Exchange,
         plan: attempt_lib.Plan,
+        changed: Callable[[], None],
     ) -> None:
         self._world = world
         self._clock = clock
         self._plan = plan
+        self._changed = changed
         self._answer = attempt_lib.Delivery(exchange, plan)
         self._tried: set[desired.BackendKey] = set()
         self._state = lifecycle.State(
@@ -185,7 +200,11 @@
         attempt = attempt_lib.Attempt(
             self._world, self._clock, self._plan, backend, self._answer
         )
-        event = await attempt.run()
+        self._changed()
+        try:
+            event = await attempt.run()
+        finally:
+            self._changed()
         begun = self._answer.begun
         self._state = dataclasses.replace(self._state, begun=begun)
         return event
--- a/src/lugcross/edge/settings.py
+++ b/src/lugcross/edge/settings.py
@@ -21,12 +21,13 @@
 
     :param callers: for callers' requests.
     :param ready: for the platform's question whether to send any.
-    :param peers: for other processes of the system; also reached by
-        datagrams at the same number.
+    :param state: for peers that ask what they missed.
+    :param peers: for datagrams of peers.
     """
 
     callers: str
     ready: str
+    state: str
     peers: str
 
 
@@ -83,7 +84,7 @@
     """Settings of one process.
 
     :param node: name of the process's machine.
-    :param seeds: peers to ask while the store cannot be reached.
+    :param seeds: where ``state`` of a few peers is; they may be gone.
     :param memory_mb: memory after which the process is killed, MB.
     :param descriptors: open files and sockets that it may have.
     """
