Hear of a new desired state from peers when the store does not wake a read

Ruled out: the process being cut off (it was not); a skipped offset (the logged offsets follow each other). Change: datagrams carry the version; who is behind for two looks asks the peer; without peers a read waits half the bound at most.

--- a/src/lugcross/edge/app.py
+++ b/src/lugcross/edge/app.py
@@ -27,9 +27,14 @@
 #: Longest wait for the store's answer. Its usual answer takes a few
 #: milliseconds; a slow store needs some hundred.
 _STORE_TIMEOUT = datetime.timedelta(seconds=1.5)
-#: How long a read of the desired state waits for a change; each read is
-#: priced, and a silent cut shows only when one of them ends.
+#: How long a read of the desired state waits for a change while peers
+#: tell what is newest; each read is priced.
 _DESIRED_WAIT = datetime.timedelta(seconds=4)
+#: Part of the bound on changes that a read waits without peers: at times
+#: the store does not wake a read that came just before the change.
+_ALONE_PART = 0.5
+#: Live peers that are enough to hear of each change.
+_ENOUGH_PEERS = 2
 #: Shortest time between two reads of the desired state, for storms.
 _DESIRED_GAP = datetime.timedelta(milliseconds=100)
 #: Part of the drain bound between two reads of the backend servers.
@@ -142,7 +147,7 @@
             known.take_desired,
             known.trouble,
             gap=_DESIRED_GAP,
-            wait=_DESIRED_WAIT,
+            wait=self._desired_wait,
         )
         backends_follower = follow.Follower(
             self._store,
@@ -150,7 +155,7 @@
             known.take_backends,
             known.trouble,
             gap=min(drain_gap, heartbeat),
-            wait=datetime.timedelta(),
+            wait=datetime.timedelta,
         )
         return [
             desired_follower.run(),
@@ -159,6 +164,11 @@
             self._sweep(),
         ]
 
+    def _desired_wait(self) -> datetime.timedelta:
+        if len(self.knowledge.peers.live()) >= _ENOUGH_PEERS:
+            return _DESIRED_WAIT
+        return self._settings.bounds.change * _ALONE_PART
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
--- a/src/lugcross/edge/backends.py
+++ b/src/lugcross/edge/backends.py
@@ -101,6 +101,12 @@
             and now - known.leaving_at < self._drain * _DRAIN_PART
         ]
 
+    def age(self) -> datetime.timedelta:
+        """Return how long ago the list was last told."""
+        if self.heard is None:
+            return datetime.timedelta.max
+        return self._clock.monotonic() - self.heard
+
     def all(self) -> list[desired.Backend]:
         """Return every server that is known."""
         return [known.backend for known in self._known.values()]
--- a/src/lugcross/edge/follow.py
+++ b/src/lugcross/edge/follow.py
@@ -2,7 +2,6 @@
 """Follows the store: the desired state and the list of backend servers."""
 
 import asyncio
-from collections.abc import Awaitable
 from collections.abc import Callable
 import datetime
 import random
@@ -64,8 +63,7 @@
     """Reads one topic again and again.
 
     :param gap: shortest time between two reads.
-    :param wait: how long a read waits for news at the store.
-    :param on_lost: called after each failed call.
+    :param wait: how long the next read waits for news at the store.
     """
 
     def __init__(
@@ -76,8 +74,7 @@
         trouble: Trouble,
         *,
         gap: datetime.timedelta,
-        wait: datetime.timedelta,
-        on_lost: Callable[[], Awaitable[None]] | None = None,
+        wait: Callable[[], datetime.timedelta],
     ) -> None:
         self._store = store
         self._topic = topic
@@ -85,7 +82,6 @@
         self._trouble = trouble
         self._gap = gap
         self._wait = wait
-        self._on_lost = on_lost
         self._next: ids.Offset | None = None
 
     async def run(self) -> None:
@@ -102,8 +98,6 @@
                 self._next = None
             except errors.LogUnavailableError as exc:
                 self._trouble.failed(str(exc))
-                if self._on_lost is not None:
-                    await self._on_lost()
                 # Jitter keeps all processes from returning at once.
                 await asyncio.sleep(retry * random.uniform(0.5, 1.0))
                 retry = min(2 * retry, _RETRY_MOST_S)
@@ -114,7 +108,7 @@
             self._take(tail, True)
         else:
             tail = await self._store.tail(
-                self._topic, self._next, wait=self._wait
+                self._topic, self._next, wait=self._wait()
             )
             self._take(tail, False)
         self._next = max(tail.end, self._next or ids.Offset(0))
--- a/src/lugcross/edge/knowledge.py
+++ b/src/lugcross/edge/knowledge.py
@@ -20,6 +20,9 @@
 
 #: Time between two looks whether a peer knows more, in seconds.
 _LOOK_S = 0.25
+#: Age of the list of backend servers past which peers are asked; the
+#: list is read several times in it.
+_OLD = datetime.timedelta(seconds=1.5)
 #: How long a process that knows nothing yet leaves the seeds alone: the
 #: store usually answers at once.
 _SEEDS_AFTER_S = 0.5
@@ -73,7 +76,7 @@
         async with asyncio.TaskGroup() as tasks:
             tasks.create_task(self.peers.run())
             tasks.create_task(self._register())
-            tasks.create_task(self._ask_when_lost())
+            tasks.create_task(self._ask_when_behind())
 
     def leave(self) -> None:
         """Tell the peers that this process is being stopped."""
@@ -114,14 +117,13 @@
 
     def _tell(self, known: list[str]) -> peers_lib.Beat:
         _, _, port = self._settings.listen.state.rpartition(":")
-        state = self._world.desired
         return peers_lib.Beat(
             node=self._settings.node,
             incarnation=self._incarnation,
             domain=self._settings.domain,
             state_port=int(port),
             leaving=self._leaving,
-            version=state.version if state else 0,
+            version=self._version(),
             end=self._world.backends.end,
             running={
                 str(key): count
@@ -172,14 +174,35 @@
             self.peers.changed()
             return
 
-    async def _ask_when_lost(self) -> None:
+    async def _ask_when_behind(self) -> None:
+        """Ask a peer that knows more, if the store does not tell it.
+
+        The store may not answer, or may leave a read waiting past the
+        news; peers that were told cost nothing to listen to.
+        """
         await asyncio.sleep(_SEEDS_AFTER_S)
         if self._world.desired is None:
             await self._ask_seeds()
+        behind = False
         while True:
             await asyncio.sleep(_LOOK_S)
-            if self.trouble.now:
-                await self._ask_best()
+            was_behind, behind = behind, False
+            best = self._best_peer()
+            if best is None or best.beat is None:
+                continue
+            behind = best.beat.version > self._version()
+            lost = self.trouble.now or self._world.backends.age() > _OLD
+            missed = lost and best.beat.end > self._world.backends.end
+            if (behind and was_behind) or missed:
+                await self._ask(best.host, best.beat.state_port)
+
+    def _version(self) -> int:
+        state = self._world.desired
+        return state.version if state else 0
+
+    def _best_peer(self) -> peers_lib.Peer | None:
+        """Return the live peer that knows most."""
+        return max(self.peers.live(), key=_newness, default=None)
 
     async def _ask_seeds(self) -> None:
         for seed in self._settings.seeds:
@@ -187,25 +210,8 @@
             if seed != self._settings.listen.state:
                 await self._ask(host, int(port))
 
-    async def _ask_best(self) -> None:
-        """Ask the live peer that knows most, if it knows more."""
-        state = self._world.desired
-        own = (state.version if state else 0, self._world.backends.end)
-        best = max(
-            (peer for peer in self.peers.live() if peer.beat),
-            key=_newness,
-            default=None,
-        )
-        if best is None or best.beat is None:
-            return
-        if best.beat.version > own[0] or best.beat.end > own[1]:
-            await self._ask(best.host, best.beat.state_port)
-
     async def _ask(self, host: str, port: int) -> None:
-        state = self._world.desired
-        question = peers_lib.Ask(
-            state.version if state else 0, self._world.backends.end
-        )
+        question = peers_lib.Ask(self._version(), self._world.backends.end)
         answer = await peers_lib.ask(host, port, question)
         if answer is None:
             return
--- a/src/lugcross/edge/settings.py
+++ b/src/lugcross/edge/settings.py
@@ -55,6 +55,8 @@
     :param grace_s: from SIGTERM until the process is killed, seconds.
     :param drain_ms: after a backend server is known to leave, until it
         must get nothing new, milliseconds.
+    :param change_ms: after a change of the desired state is accepted,
+        until it must be in force everywhere, milliseconds.
     :param repeat_ratio: repeats that a service may get for each of its
         requests, within ``repeat_window_s`` seconds.
     :param repeat_slack: repeats allowed beyond, all processes together.
@@ -63,6 +65,7 @@
 
     grace_s: float
     drain_ms: float
+    change_ms: float
     repeat_ratio: float
     repeat_window_s: float
     repeat_slack: float
@@ -73,6 +76,11 @@
         """Time from SIGTERM until the process is killed."""
         return datetime.timedelta(seconds=self.grace_s)
 
+    @property
+    def change(self) -> datetime.timedelta:
+        """Longest time until a change must be in force."""
+        return datetime.timedelta(milliseconds=self.change_ms)
+
     @property
     def drain(self) -> datetime.timedelta:
         """Longest time that a leaving backend server may be used."""
