--- a/bench/config.py
+++ b/bench/config.py
@@ -21,8 +21,8 @@
 from lugcross import cfg
 from lugcross import clock
 from lugcross import ids
-from lugcross import membership
 from lugcross import logservice
+from lugcross import membership
 from lugcross import standin
 from lugcross import wire
 import procs
--- a/src/lugcross/agent/app.py
+++ b/src/lugcross/agent/app.py
@@ -24,9 +24,9 @@
 from lugcross import clock as clock_lib
 from lugcross import errors
 from lugcross import ids
+from lugcross import logservice
 from lugcross import membership
 from lugcross import observe
-from lugcross import logservice
 from lugcross import routing
 from lugcross import wire
 
--- a/src/lugcross/cfg/settings.py
+++ b/src/lugcross/cfg/settings.py
@@ -10,8 +10,6 @@
 
 from lugcross import errors
 from lugcross import yamlfile
-from lugcross.yamlfile import load
-from lugcross.yamlfile import parse
 
 _MIN_SECRET = 16
 
--- a/src/lugcross/cli/daemon.py
+++ b/src/lugcross/cli/daemon.py
@@ -6,6 +6,7 @@
 from lugcross import cfg
 from lugcross import clock
 from lugcross import observe
+from lugcross import yamlfile
 
 
 @click.command()
@@ -15,7 +16,7 @@
     # Imported here: it brings the RPC stack, which an agent is spared.
     from lugcross import entry as entry_lib
 
-    settings = cfg.settings.load(file, cfg.settings.Entry)
+    settings = yamlfile.load(file, cfg.settings.Entry)
     observe.set_up(settings.node.name, settings.observe.level)
     program = entry_lib.Entry(settings, clock=clock.SystemClock())
     program.application().run()
@@ -27,7 +28,7 @@
     """Run the agent of a backend server with the settings in FILE."""
     from lugcross import agent as agent_lib
 
-    settings = cfg.settings.load(file, cfg.settings.Agent)
+    settings = yamlfile.load(file, cfg.settings.Agent)
     observe.set_up(settings.node.name, settings.observe.level)
     program = agent_lib.Agent(settings, clock=clock.SystemClock())
     program.application().run()
--- a/src/lugcross/edge/app.py
+++ b/src/lugcross/edge/app.py
@@ -15,7 +15,6 @@
 from lugcross import desired
 from lugcross.edge import follow
 from lugcross.edge import knowledge as knowledge_lib
-from lugcross.edge import peers as peers_lib
 from lugcross.edge import ready as ready_lib
 from lugcross.edge import runner as runner_lib
 from lugcross.edge import settings as settings_lib
--- a/src/lugcross/edge/attempt.py
+++ b/src/lugcross/edge/attempt.py
@@ -163,9 +163,7 @@
             plan.req.method, plan.req.target, headers, plan.req.body or b""
         )
 
-    async def _receive(
-        self, conn: http1.ClientConn
-    ) -> lifecycle.Event | None:
+    async def _receive(self, conn: http1.ClientConn) -> lifecycle.Event | None:
         answer, head = await self._own_answer(conn)
         self._keep = head.keep
         if head.load is not None:
--- a/src/lugcross/edge/backends.py
+++ b/src/lugcross/edge/backends.py
@@ -1,7 +1,6 @@
 # SPDX-License-Identifier: Apache-2.0
 """What one process believes of the backend servers, and since when."""
 
-from collections.abc import Iterable
 import dataclasses
 import datetime
 from typing import final
@@ -117,9 +116,7 @@
         if known is None:
             return
         self._removed[key] = known.offset
-        logging.info(
-            "backend server gone", extra={"backend": key, "why": why}
-        )
+        logging.info("backend server gone", extra={"backend": key, "why": why})
 
     def _held(self, known: _Known, now: clock_lib.Instant) -> bool:
         if not known.lapsed or known.leaving_at is None:
--- a/src/lugcross/edge/runner.py
+++ b/src/lugcross/edge/runner.py
@@ -168,9 +168,10 @@
         if found is None:
             raise refusal.not_ready("no backend server is known")
         verdict = admission.admit(
-            found, self._plan.head, self._plan.route, self._world.engine(
-                self._plan.service
-            )
+            found,
+            self._plan.head,
+            self._plan.route,
+            self._world.engine(self._plan.service),
         )
         if verdict is not None:
             raise refusal.overloaded(verdict)
@@ -232,7 +233,9 @@
         elif action is lifecycle.Action.CUT:
             raise refusal.broken("the answer broke off")
         elif action is lifecycle.Action.REFUSE:
-            raise refusal.overloaded(f"no backend server ran it ({event.value})")
+            raise refusal.overloaded(
+                f"no backend server ran it ({event.value})"
+            )
         else:
             raise refusal.unknown("a backend server broke off")
 
--- a/src/lugcross/entry/app.py
+++ b/src/lugcross/entry/app.py
@@ -20,9 +20,9 @@
 from lugcross.entry import seeds as seeds_lib
 from lugcross.entry import upstream as upstream_lib
 from lugcross import ids
+from lugcross import logservice
 from lugcross import membership
 from lugcross import observe
-from lugcross import logservice
 from lugcross import routing
 from lugcross import rpc
 from lugcross.rpc import lugcross_pb2 as pb
--- a/src/lugcross/entry/upstream.py
+++ b/src/lugcross/entry/upstream.py
@@ -18,9 +18,9 @@
 from lugcross.entry import lifecycle
 from lugcross import errors
 from lugcross import ids
+from lugcross import logservice
 from lugcross import membership
 from lugcross import observe
-from lugcross import logservice
 from lugcross import routing
 from lugcross import wire
 
--- a/src/lugcross/membership/hosts.py
+++ b/src/lugcross/membership/hosts.py
@@ -60,5 +60,7 @@
 def leaving_names(hosts: tuple[logservice.Host, ...]) -> frozenset[str]:
     """Return the names of the nodes whose hosts are leaving."""
     return frozenset(
-        host.name for host in hosts if host.state is logservice.HostState.LEAVING
+        host.name
+        for host in hosts
+        if host.state is logservice.HostState.LEAVING
     )
--- a/src/lugcross/platform/answers.py
+++ b/src/lugcross/platform/answers.py
@@ -150,7 +150,7 @@
 
 
 def _named_by_connection(headers: _Headers) -> frozenset[bytes]:
-    named = set()
+    named: set[bytes] = set()
     for name, value in headers:
         if name.lower() == b"connection":
             named.update(one.strip().lower() for one in value.split(b","))
--- a/src/lugcross/routing/window.py
+++ b/src/lugcross/routing/window.py
@@ -31,12 +31,8 @@
     def __init__(self, *, ratio: float, window_s: float) -> None:
         self._ratio = ratio * _SPENT_PART
         self._window = datetime.timedelta(seconds=window_s)
-        self._asked: collections.deque[clock_lib.Instant] = (
-            collections.deque()
-        )
-        self._spent: collections.deque[clock_lib.Instant] = (
-            collections.deque()
-        )
+        self._asked: collections.deque[clock_lib.Instant] = collections.deque()
+        self._spent: collections.deque[clock_lib.Instant] = collections.deque()
 
     def asked(self, now: clock_lib.Instant) -> None:
         """Note one request of a caller."""
--- a/testing/cfg/test_settings.py
+++ b/testing/cfg/test_settings.py
@@ -7,6 +7,7 @@
 
 from lugcross import cfg
 from lugcross import errors
+from lugcross import yamlfile
 
 GOOD = pathlib.Path("examples/entry.yaml").read_text(encoding="utf-8")
 
@@ -41,7 +42,7 @@
 def test_bad_field_is_named(old: str, new: str, path: str) -> None:
     assert old in GOOD
     with pytest.raises(errors.SettingsError) as caught:
-        cfg.settings.parse(
+        yamlfile.parse(
             GOOD.replace(old, new, 1), cfg.settings.Entry, source="e.yaml"
         )
     assert "e.yaml" in str(caught.value)
@@ -52,4 +53,4 @@
 def test_file_that_is_not_there_is_named(tmp_path: pathlib.Path) -> None:
     path = str(tmp_path / "none.yaml")
     with pytest.raises(errors.SettingsError, match="none.yaml"):
-        cfg.settings.load(path, cfg.settings.Entry)
+        yamlfile.load(path, cfg.settings.Entry)
--- a/testing/cfg/test_spread.py
+++ b/testing/cfg/test_spread.py
@@ -14,8 +14,8 @@
 from lugcross import clock as clock_lib
 from lugcross import errors
 from lugcross import ids
-from lugcross import membership
 from lugcross import logservice
+from lugcross import membership
 from lugcross import standin
 from lugcross import wire
 
