Learn from the pauses of streams how many requests an engine may have

Cause: a fixed part of the slots (two thirds) fits one load only; a pass takes longer with each request that writes, and more so the less evenly the experts' work is spread. What peers sent since they last told is counted as if each had sent as much as this process.

--- a/src/lugcross/edge/attempt.py
+++ b/src/lugcross/edge/attempt.py
@@ -119,7 +119,7 @@
         :raises http1.CallerGoneError: when nobody reads it.
         """
         world = self._world
-        world.loads.started(self._backend.key)
+        world.loads.started(self._backend.key, self._plan.service)
         try:
             try:
                 conn = await world.pool.take(self._backend)
@@ -241,8 +241,11 @@
     ) -> lifecycle.Event | None:
         splitter = events.Splitter()
         after = self._delivery.last_id if self._delivery.begun else ""
+        last: clock_lib.Instant | None = None
         while (data := await conn.data()) is not None:
             some = splitter.feed(data)
+            if some:
+                last = self._note_pause(last)
             if after:
                 some = [one for one in some if events.is_later(one, after)]
             if some:
@@ -253,6 +256,13 @@
         await self._delivery.end(answer)
         return None
 
+    def _note_pause(self, last: clock_lib.Instant | None) -> clock_lib.Instant:
+        now = self._clock.monotonic()
+        limit = self._plan.route.max_gap
+        if last is not None and limit is not None:
+            self._world.paused(self._plan.service, now - last, limit)
+        return now
+
     def _health(self) -> routing.Health:
         return self._world.loads.health(self._backend.key)
 
--- a/src/lugcross/edge/loads.py
+++ b/src/lugcross/edge/loads.py
@@ -9,12 +9,16 @@
 
 from lugcross import clock as clock_lib
 from lugcross import desired
+from lugcross import ids
 from lugcross import platform
 from lugcross import routing
 
 #: Age at which what a peer told of its requests counts no more: a few of
 #: its messages were lost, or it is gone and so are its requests.
 _PEER_STALE = datetime.timedelta(seconds=1.5)
+#: Time within which what was sent here and at peers is not known to each
+#: other: the spacing of their datagrams and the way.
+_UNTOLD = datetime.timedelta(milliseconds=60)
 #: Age at which a load told in an answer counts no more; about the time
 #: in which a server's requests are replaced by others.
 _TOLD_STALE = datetime.timedelta(milliseconds=500)
@@ -43,13 +47,19 @@
         self._own: collections.Counter[desired.BackendKey] = (
             collections.Counter()
         )
+        self._sent: collections.deque[
+            tuple[clock_lib.Instant, ids.ServiceName]
+        ] = collections.deque()
         self._told: dict[desired.BackendKey, _Told] = {}
         self._peers: dict[str, _Peer] = {}
         self._health: dict[desired.BackendKey, routing.Health] = {}
 
-    def started(self, key: desired.BackendKey) -> None:
+    def started(
+        self, key: desired.BackendKey, service: ids.ServiceName
+    ) -> None:
         """Note that a request was sent from here."""
         self._own[key] += 1
+        self._sent.append((self._clock.monotonic(), service))
         self.health(key).sent(self._clock.monotonic())
 
     def ended(self, key: desired.BackendKey) -> None:
@@ -68,6 +78,20 @@
         """Take over what a peer has in progress."""
         self._peers[node] = _Peer(running, self._clock.monotonic())
 
+    def fresh(self, service: ids.ServiceName) -> int:
+        """Return how many were sent that peers' news cannot reflect."""
+        now = self._clock.monotonic()
+        while self._sent and now - self._sent[0][0] > _UNTOLD:
+            self._sent.popleft()
+        return sum(1 for _, other in self._sent if other == service)
+
+    def peers(self) -> int:
+        """Return how many peers were heard lately."""
+        now = self._clock.monotonic()
+        return sum(
+            1 for peer in self._peers.values() if now - peer.at < _PEER_STALE
+        )
+
     def own(self) -> dict[desired.BackendKey, int]:
         """Return what is in progress from here."""
         return dict(self._own)
--- a/src/lugcross/edge/runner.py
+++ b/src/lugcross/edge/runner.py
@@ -167,11 +167,10 @@
         found = self._choose()
         if found is None:
             raise refusal.not_ready("no backend server is known")
+        service = self._plan.service
         verdict = admission.admit(
-            found,
-            self._plan.head,
-            self._plan.route,
-            self._world.engine(self._plan.service),
+            self._world.picture(service),
+            self._world.full(self._plan.route, service),
         )
         if verdict is not None:
             raise refusal.overloaded(verdict)
--- a/src/lugcross/edge/world.py
+++ b/src/lugcross/edge/world.py
@@ -2,6 +2,7 @@
 """What one process knows, in one place for those who decide by it."""
 
 from collections.abc import Collection
+import datetime
 import random
 from typing import final
 
@@ -9,9 +10,11 @@
 
 from lugcross import clock as clock_lib
 from lugcross import desired
+from lugcross.edge import admission
 from lugcross.edge import backends as backends_lib
 from lugcross.edge import choice
 from lugcross.edge import loads as loads_lib
+from lugcross.edge import pace as pace_lib
 from lugcross.edge import pool as pool_lib
 from lugcross.edge import settings as settings_lib
 from lugcross import ids
@@ -34,6 +37,7 @@
         self._rng = rng
         self._home = ids.DomainName(settings.domain)
         self._budgets: dict[ids.ServiceName, routing.RepeatBudget] = {}
+        self._paces: dict[ids.ServiceName, pace_lib.Pace] = {}
         self.desired: desired.Desired | None = None
         self.desired_record = b""
         self.backends = backends_lib.Backends(
@@ -65,6 +69,47 @@
         found = self.desired.services.get(service)
         return found.engine if found else None
 
+    def picture(self, service: ids.ServiceName) -> admission.Picture:
+        """Return the load of ``service`` as it looks from here."""
+        busy = [self.loads.busy(one.key) for one in self.backends.of(service)]
+        return admission.Picture(
+            servers=len(busy),
+            busy=sum(busy),
+            least=min(busy, default=0),
+            fresh=self.loads.fresh(service),
+            peers=self.loads.peers(),
+        )
+
+    def full(self, route: desired.Route, service: ids.ServiceName) -> float:
+        """Return how many requests one server of ``service`` may have."""
+        engine = self.engine(service)
+        if engine is not None:
+            return self.pace(service).full(engine, route.max_gap)
+        slots = [one.slots for one in self.backends.of(service)]
+        return admission.PLAIN_FULL * min(slots, default=1)
+
+    def pace(self, service: ids.ServiceName) -> pace_lib.Pace:
+        """Return what the pauses of the streams of ``service`` taught."""
+        return self._paces.setdefault(service, pace_lib.Pace())
+
+    def paused(
+        self,
+        service: ids.ServiceName,
+        pause: datetime.timedelta,
+        limit: datetime.timedelta,
+    ) -> None:
+        """Learn from a pause between two events of a stream."""
+        engine = self.engine(service)
+        picture = self.picture(service)
+        if engine is None or not picture.servers:
+            return
+        self.pace(service).paused(
+            pause,
+            engine=engine,
+            per_engine=picture.busy / picture.servers,
+            limit=limit,
+        )
+
     def choose(
         self,
         service: ids.ServiceName,
