Keep an overloaded service's last places for first requests

Cause: under overload requests that were refused came back and took the places of new ones, which then came back late in turn; each that ends refused after coming back costs its caller the wait as well. Ruled out: admitting them first; every place would go to one already late.

--- a/src/lugcross/edge/pace.py
+++ b/src/lugcross/edge/pace.py
@@ -18,7 +18,7 @@
 #: Part of the longest pause in time that a mean pass may take. Passes
 #: that read long prompts take longer, and one late pause makes a whole
 #: stream late; measured, see docs/design/0005-platform.md.
-_MEAN_PART = 0.70
+_MEAN_PART = 0.77
 #: Least part of the slots that is used, whatever was learned: below half
 #: of them the service would refuse what its idle places could do.
 _LEAST_PART = 0.5
--- a/src/lugcross/edge/runner.py
+++ b/src/lugcross/edge/runner.py
@@ -171,6 +171,9 @@
         verdict = admission.admit(
             self._world.picture(service),
             self._world.full(self._plan.route, service),
+            back=self._world.returns(self._plan.route.name).is_back(
+                self._plan.head.time_left
+            ),
         )
         if verdict is not None:
             raise refusal.overloaded(verdict)
--- a/src/lugcross/edge/world.py
+++ b/src/lugcross/edge/world.py
@@ -37,6 +37,7 @@
         self._rng = rng
         self._home = ids.DomainName(settings.domain)
         self._budgets: dict[ids.ServiceName, routing.RepeatBudget] = {}
+        self._returns: dict[str, admission.Returns] = {}
         self._paces: dict[ids.ServiceName, pace_lib.Pace] = {}
         self.desired: desired.Desired | None = None
         self.desired_record = b""
@@ -92,6 +93,10 @@
         """Return what the pauses of the streams of ``service`` taught."""
         return self._paces.setdefault(service, pace_lib.Pace())
 
+    def returns(self, route: str) -> admission.Returns:
+        """Return what tells requests of ``route`` that come back."""
+        return self._returns.setdefault(route, admission.Returns())
+
     def paused(
         self,
         service: ids.ServiceName,
