--- a/src/lugcross/edge/backends.py
+++ b/src/lugcross/edge/backends.py
@@ -153,7 +153,9 @@
         since = known.leaving_at if known and not known.removed else None
         now = self._clock.monotonic()
         self._known[backend.key] = _Known(
-            backend, offset, (since or now) if leaving else None
+            backend,
+            offset,
+            (now if since is None else since) if leaving else None,
         )
         if known is None or known.backend.state is not backend.state:
             logging.info(
@@ -182,7 +184,8 @@
             return
         known.removed = True
         known.lapsed = away and known.leaving_at is None
-        known.leaving_at = known.leaving_at or self._clock.monotonic()
+        if known.leaving_at is None:
+            known.leaving_at = self._clock.monotonic()
         logging.info(
             "backend server removed",
             extra={"backend": key, "offset": offset, "lapsed": known.lapsed},
--- a/src/lugcross/http1/server.py
+++ b/src/lugcross/http1/server.py
@@ -153,7 +153,9 @@
     ) -> None:
         """Write an answer's head with what is there of its body."""
         headers = list(headers)
-        if whole and self._method != b"HEAD":
+        if self._method == b"HEAD":
+            body = b""
+        elif whole:
             headers.append((b"Content-Length", str(len(body)).encode()))
         if self._leaving():
             headers.append((b"Connection", b"close"))
--- /dev/null
+++ b/src/lugcross/standin/store.py
@@ -0,0 +1,175 @@
+# SPDX-License-Identifier: Apache-2.0
+"""Stand-in of the users' log store, as its published protocol has it.
+
+Topics with keys only: reads from an offset, the newest record of each
+key, and appends. Faults are set on the object while it runs.
+"""
+
+import asyncio
+import base64
+import datetime
+import http
+import json
+import struct
+from typing import final
+import urllib.parse
+
+from lugcross import clock as clock_lib
+from lugcross import desired
+from lugcross import http1
+
+_WORD = struct.Struct(">I")
+_BOUNDS = struct.Struct(">QQ")
+_LIMITS = desired.Limits(
+    head_bytes=16_384,
+    body_bytes=4_194_304,
+    head_time=datetime.timedelta(seconds=10),
+    idle_time=datetime.timedelta(seconds=60),
+)
+
+
+@final
+class _Topic:
+    def __init__(self) -> None:
+        self.first = 0
+        self.records: list[tuple[str, bytes]] = []
+        self.newest: dict[str, tuple[int, bytes]] = {}
+        self.changed = asyncio.Event()
+
+    @property
+    def end(self) -> int:
+        return len(self.records)
+
+    def append(self, key: str, value: bytes) -> int:
+        self.records.append((key, value))
+        if value:
+            self.newest[key] = (self.end - 1, value)
+        else:
+            self.newest.pop(key, None)
+        self.changed.set()
+        self.changed = asyncio.Event()
+        return self.end - 1
+
+
+@final
+class StoreStandin:
+    """A store in memory.
+
+    :ivar busy: whether every call gets 503.
+    :ivar page: keys of one page of newest records.
+    """
+
+    def __init__(self) -> None:
+        self._topics: dict[str, _Topic] = {}
+        self._server: asyncio.Server | None = None
+        self._clock = clock_lib.SystemClock()
+        self.busy = False
+        self.page = 500
+        self.calls: list[str] = []
+
+    async def start(self, host: str) -> str:
+        """Listen on a free port; return the address."""
+        self._server = await asyncio.start_server(self._serve, host, 0)
+        port = self._server.sockets[0].getsockname()[1]
+        return f"{host}:{port}"
+
+    def close(self) -> None:
+        """Stop listening."""
+        if self._server is not None:
+            self._server.close()
+
+    def append(self, topic: str, key: str, value: bytes) -> int:
+        """Append one record; return its offset."""
+        return self._topic(topic).append(key, value)
+
+    def drop_history(self, topic: str) -> None:
+        """Drop all records but the newest of each key."""
+        self._topic(topic).first = self._topic(topic).end
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        conn = http1.ServerConn(
+            reader,
+            writer,
+            self._answer,
+            limits=lambda: _LIMITS,
+            leaving=lambda: False,
+            clock=self._clock,
+        )
+        await conn.run()
+
+    async def _answer(
+        self, exchange: http1.Exchange, req: http1.Request
+    ) -> None:
+        parts = urllib.parse.urlsplit(req.target.decode())
+        query = dict(urllib.parse.parse_qsl(parts.query))
+        self.calls.append(parts.path)
+        if self.busy:
+            status, body = http.HTTPStatus.SERVICE_UNAVAILABLE, b""
+        elif parts.path == "/log-newest":
+            status, body = self._newest(query)
+        elif parts.path == "/log-read":
+            status, body = await self._read(query)
+        elif parts.path == "/log-append":
+            status, body = self._append(query, req.body or b"")
+        else:
+            status, body = http.HTTPStatus.NOT_FOUND, b""
+        await exchange.head(status, [], body, whole=True)
+
+    def _topic(self, name: str) -> _Topic:
+        return self._topics.setdefault(name, _Topic())
+
+    def _newest(self, query: dict[str, str]) -> tuple[http.HTTPStatus, bytes]:
+        topic = self._topic(query["topic"])
+        after = query.get("after_revision", "")
+        keys = sorted(key for key in topic.newest if key > after)
+        items = [
+            {
+                "private_key": key,
+                "value": base64.b64encode(topic.newest[key][1]).decode(),
+                "offset": topic.newest[key][0],
+            }
+            for key in keys[: self.page]
+        ]
+        more = len(keys) > self.page
+        page = {"items": items, "has_more": more, "end": topic.end}
+        return http.HTTPStatus.OK, json.dumps(page).encode()
+
+    async def _read(
+        self, query: dict[str, str]
+    ) -> tuple[http.HTTPStatus, bytes]:
+        topic = self._topic(query["topic"])
+        start = int(query["from"])
+        if start < topic.first:
+            gone = json.dumps({"first": topic.first}).encode()
+            return http.HTTPStatus.GONE, gone
+        wait_s = int(query.get("wait_ms", "0")) / 1000
+        if start >= topic.end and wait_s:
+            try:
+                async with asyncio.timeout(wait_s):
+                    await topic.changed.wait()
+            except TimeoutError:
+                # Nothing came: the answer holds no records.
+                pass
+        body = _BOUNDS.pack(topic.end, topic.first)
+        for key, value in topic.records[start:]:
+            name = key.encode()
+            record = bytes((len(name),)) + name + value
+            body += _WORD.pack(len(record)) + record
+        return http.HTTPStatus.OK, body
+
+    def _append(
+        self, query: dict[str, str], body: bytes
+    ) -> tuple[http.HTTPStatus, bytes]:
+        topic = self._topic(query["topic"])
+        first = topic.end
+        at = 0
+        while at < len(body):
+            (size,) = _WORD.unpack_from(body, at)
+            record = body[at + _WORD.size : at + _WORD.size + size]
+            at += _WORD.size + size
+            key_end = 1 + record[0]
+            topic.append(record[1:key_end].decode(), record[key_end:])
+        answer = {"offset": first, "end": topic.end}
+        return http.HTTPStatus.OK, json.dumps(answer).encode()
--- /dev/null
+++ b/testing/edge/test_answers.py
@@ -0,0 +1,275 @@
+# SPDX-License-Identifier: Apache-2.0
+"""What callers get, by what backend servers do; over real sockets."""
+
+import asyncio
+
+import edge_rig as rig
+import pytest
+
+E1 = b"id: 1\ndata: a\n\n"
+E2 = b"id: 2\ndata: b\n\n"
+E3 = b"id: 3\ndata: c\n\n"
+NOT_RUN = b"Not-Executed: 1"
+
+
+def test_answer_comes_whole_with_seal_and_id(play):
+    got = play(rig.SAFE, [[rig.answer()]], lambda r: r.ask())
+    assert (got.status, got.body, got.whole) == (200, b"whole", True)
+    assert got.headers[b"response-seal"] == b"s1"
+    assert got.headers[b"attempt-identifier"] == b"a1"
+
+
+def test_backend_gets_path_body_and_only_the_systems_own_headers(play):
+    async def act(r):
+        await r.ask(
+            b"Tenant: forged",
+            b"Expected-Instance: forged",
+            b"Request-Priority: 0",
+            b"X-Other: kept",
+            b"TE: trailers",
+            method=b"POST",
+            path=b"/r/a?b=%20c",
+            body=b"bytes",
+        )
+        return r.backends[0].seen[0]
+
+    seen = play(rig.SAFE, [[rig.answer()]], act)
+    assert seen.line == b"POST /r/a?b=%20c HTTP/1.1"
+    assert seen.body == b"bytes"
+    assert seen.headers[b"tenant"] == b"space-a"
+    assert seen.headers[b"expected-instance"] == b"i-0"
+    assert seen.headers[b"x-other"] == b"kept"
+    for name in (b"x-api-key", b"request-priority", b"te", b"connection"):
+        assert name not in seen.headers
+
+
+def test_backend_gets_less_time_than_the_caller_has(play):
+    async def act(r):
+        await r.ask(time_left=3000)
+        return r.backends[0].seen[0]
+
+    seen = play(rig.SAFE, [[rig.answer()]], act)
+    assert 2000 < int(seen.headers[b"time-remaining"]) < 3000
+
+
+@pytest.mark.parametrize(
+    ("header", "status"),
+    [(b"X-Api-Key: nobodys", 401), (b"X-Other: 1", 404)],
+    ids=["unknown-key", "unknown-path"],
+)
+def test_what_no_desired_state_allows_reaches_nobody(play, header, status):
+    async def act(r):
+        data = rig.request(header, path=b"/none/")
+        if status == 401:
+            data = rig.request().replace(b"key-of-a", b"nobodys")
+        got = await r.send(data)
+        return got.status, len(r.backends[0].seen)
+
+    assert play(rig.SAFE, [[]], act) == (status, 0)
+
+
+def test_not_run_goes_on_elsewhere(play):
+    scripts = [[rig.answer(503, b"", NOT_RUN)], [rig.answer()]]
+    got = play(rig.UNSAFE_TWICE, scripts, lambda r: r.ask())
+    assert (got.status, got.body) == (200, b"whole")
+
+
+def test_not_run_everywhere_is_told_with_when_to_come_back(play):
+    scripts = [[rig.answer(503, b"", NOT_RUN)]]
+    got = play(rig.UNSAFE, scripts, lambda r: r.ask())
+    assert got.status == 503
+    assert float(got.headers[b"retry-after"]) > 0
+
+
+def test_refusal_without_proof_is_not_passed_on_as_not_run(play):
+    scripts = [[rig.answer(503, b"")], [rig.answer()]]
+    got = play(rig.UNSAFE_TWICE, scripts, lambda r: r.ask())
+    assert got.status == 502
+    assert b"response-seal" not in got.headers
+
+
+def test_unsafe_request_that_may_have_run_is_sent_once(play):
+    async def act(r):
+        got = await r.ask(method=b"POST", body=b"x")
+        return got.status, len(r.backends[1].seen)
+
+    scripts = [[rig.raw(b"", close=True)], [rig.answer()]]
+    assert play(rig.UNSAFE_TWICE, scripts, act) == (502, 0)
+
+
+def test_safe_request_that_broke_is_sent_again(play):
+    scripts = [[rig.raw(b"", close=True)], [rig.answer()]]
+    got = play(rig.SAFE, scripts, lambda r: r.ask())
+    assert (got.status, got.body) == (200, b"whole")
+
+
+def test_attempts_of_the_route_are_the_most(play):
+    async def act(r):
+        got = await r.ask()
+        return got.status, sum(len(b.seen) for b in r.backends)
+
+    broken = rig.raw(b"", close=True)
+    scripts = [[broken], [broken], [broken]]
+    assert play(rig.SAFE, scripts, act) == (502, 2)
+
+
+@pytest.mark.parametrize(
+    "bad",
+    [
+        rig.answer(seal=False),
+        rig.answer(200, b"x", b"Content-Encoding: gzip"),
+        rig.raw(b"not an answer\r\n\r\n", close=True),
+        rig.raw(
+            b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n"
+            b"Attempt-Identifier: a1\r\nResponse-Seal: s\r\n\r\nshort",
+            close=True,
+        ),
+    ],
+    ids=["unsigned", "encoded", "no-http", "cut-short"],
+)
+def test_bad_answer_is_never_passed_on(play, bad):
+    got = play(rig.UNSAFE, [[bad]], lambda r: r.ask())
+    assert got.status == 502
+    assert b"response-seal" not in got.headers
+
+
+def test_surplus_answer_to_an_earlier_request_is_skipped(play):
+    other = (
+        b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n"
+        b"Attempt-Identifier: other\r\nResponse-Seal: s0\r\n\r\nother"
+    )
+
+    async def both(seen, writer):
+        writer.write(other)
+        await rig.answer()(seen, writer)
+
+    got = play(rig.UNSAFE, [[both]], lambda r: r.ask())
+    assert (got.status, got.body) == (200, b"whole")
+
+
+def test_connection_with_bytes_past_an_answer_is_not_used_again(play):
+    async def surplus(seen, writer):
+        await rig.answer()(seen, writer)
+        writer.write(b"HTTP/1.1 200 OK\r\n")
+
+    async def act(r):
+        await r.ask()
+        await r.ask()
+        return r.backends[0].connections
+
+    assert play(rig.SAFE, [[surplus, rig.answer()]], act) == 2
+
+
+def test_connection_is_used_again_after_a_whole_answer(play):
+    async def act(r):
+        await r.ask()
+        await r.ask()
+        return r.backends[0].connections
+
+    assert play(rig.SAFE, [[rig.answer(), rig.answer()]], act) == 1
+
+
+def test_another_life_at_the_address_gets_nothing_more(play):
+    async def act(r):
+        got = await r.ask()
+        return got.status, [one.key for one in r.world.backends.all()]
+
+    scripts = [[rig.answer(421, b"")], [rig.answer()]]
+    assert play(rig.UNSAFE_TWICE, scripts, act) == (200, ["i-1"])
+
+
+def test_failure_that_ran_keeps_status_and_seal(play):
+    scripts = [[rig.answer(500, b"sorry")]]
+    got = play(rig.UNSAFE, scripts, lambda r: r.ask())
+    assert (got.status, got.body) == (500, b"sorry")
+    assert got.headers[b"response-seal"] == b"s1"
+
+
+def test_stream_goes_on_elsewhere_after_its_last_whole_event(play):
+    async def act(r):
+        got = await r.ask()
+        return got, r.backends[1].seen[0]
+
+    scripts = [
+        [rig.events(E1, E2, E3[:5], end=False)],
+        [rig.events(E2, E3, seal=b"s2")],
+    ]
+    got, seen = play(rig.STREAM, scripts, act)
+    assert (got.body, got.whole) == (E1 + E2 + E3, True)
+    assert got.headers[b"response-seal"] == b"s1"
+    assert seen.headers[b"last-event-id"] == b"2"
+
+
+def test_stream_that_may_not_go_on_ends_visibly_broken(play):
+    async def act(r):
+        got = await r.ask()
+        return got.body, got.whole, len(r.backends[1].seen)
+
+    scripts = [[rig.events(E1, end=False)], [rig.events(E2)]]
+    assert play(rig.STREAM_ONCE, scripts, act) == (E1, False, 0)
+
+
+def test_resume_where_the_caller_says_is_passed_on(play):
+    async def act(r):
+        got = await r.ask(b"Last-Event-Id: 2")
+        return got.body, r.backends[0].seen[0].headers[b"last-event-id"]
+
+    assert play(rig.STREAM, [[rig.events(E3)]], act) == (E3, b"2")
+
+
+def test_caller_that_leaves_ends_the_work(play):
+    async def act(r):
+        reader, writer = await asyncio.open_connection(rig.HOST, r.port)
+        writer.write(rig.request())
+        await r.backends[0].asked.wait()
+        writer.close()
+        await r.backends[0].gone.wait()
+        del reader
+        return True
+
+    assert play(rig.SAFE, [[rig.hang]], act)
+
+
+def test_request_past_its_time_gets_an_answer_that_promises_nothing(play):
+    got = play(rig.UNSAFE, [[rig.hang]], lambda r: r.ask(time_left=30))
+    assert got.status == 504
+    assert b"retry-after" not in got.headers
+
+
+def test_no_connection_proves_that_nothing_ran(play):
+    async def act(r):
+        r.backends[0].close()
+        return await r.ask()
+
+    got = play(rig.UNSAFE, [[]], act)
+    assert got.status == 503
+    assert b"retry-after" in got.headers
+
+
+def test_process_that_is_stopping_refuses_late_requests(play):
+    async def act(r):
+        r.closed = r.leaving = True
+        got = await r.ask()
+        return got.status, got.headers[b"connection"], r.backends[0].seen
+
+    assert play(rig.SAFE, [[]], act) == (503, b"close", [])
+
+
+def test_answer_of_a_stopping_process_closes_the_connection(play):
+    async def act(r):
+        r.leaving = True
+        data = rig.request().replace(b"Connection: close\r\n", b"")
+        return await r.send(data)
+
+    got = play(rig.SAFE, [[rig.answer()]], act)
+    assert (got.status, got.headers[b"connection"]) == (200, b"close")
+
+
+def test_process_that_knows_no_desired_state_promises_not_run(play):
+    async def act(r):
+        r.world.desired = None
+        return await r.ask()
+
+    got = play(rig.SAFE, [[]], act)
+    assert got.status == 503
+    assert float(got.headers[b"retry-after"]) > 0
--- /dev/null
+++ b/testing/edge/test_backends.py
@@ -0,0 +1,120 @@
+# SPDX-License-Identifier: Apache-2.0
+"""The list of backend servers under late, missing and lapsed records."""
+
+import datetime
+
+from lugcross import clock as clock_lib
+from lugcross.edge import backends as backends_lib
+from lugcross import ids
+from lugcross import platform
+
+SERVICE = ids.ServiceName("s")
+DRAIN = datetime.timedelta(seconds=2)
+
+
+def _record(offset: int, key: str, state: str = "ready"):
+    value = (
+        '{"service":"s","address":"10.0.0.1:80","zone":"d","slots":6,'
+        '"state":"%s"}' % state
+    )
+    return platform.KeyedRecord(ids.Offset(offset), key, value.encode())
+
+
+def _gone(offset: int, key: str):
+    return platform.KeyedRecord(ids.Offset(offset), key, b"")
+
+
+class _Rig:
+    def __init__(self) -> None:
+        self.clock = clock_lib.ManualClock()
+        self.list = backends_lib.Backends(self.clock, drain=DRAIN)
+
+    def told(self, *records, end=100, away=False, newest=False):
+        tail = platform.Tail(end=ids.Offset(end), records=records)
+        take = self.list.replace if newest else self.list.apply
+        take(tail, store_was_away=away)
+
+    def usable(self):
+        return sorted(one.key for one in self.list.of(SERVICE))
+
+    def passes(self, seconds):
+        self.clock.advance(datetime.timedelta(seconds=seconds))
+
+
+def test_older_record_changes_nothing():
+    rig = _Rig()
+    rig.told(_record(5, "a", "draining"), _record(6, "b"))
+    rig.told(_record(4, "a"))
+    assert rig.usable() == ["b"]
+
+
+def test_leaving_server_gets_nothing_where_others_are():
+    rig = _Rig()
+    rig.told(_record(1, "a"), _record(2, "b"))
+    rig.told(_record(3, "a", "draining"))
+    assert rig.usable() == ["b"]
+
+
+def test_last_server_is_used_for_part_of_the_drain_bound_only():
+    rig = _Rig()
+    rig.told(_record(1, "a"))
+    rig.told(_record(2, "a", "draining"))
+    assert rig.usable() == ["a"]
+    rig.passes(1.1)
+    assert rig.usable() == []
+
+
+def test_repeated_news_of_leaving_does_not_extend_its_time():
+    rig = _Rig()
+    rig.told(_record(1, "a", "draining"))
+    rig.passes(0.9)
+    rig.told(_record(2, "a", "draining"))
+    rig.passes(0.2)
+    assert rig.usable() == []
+
+
+def test_server_whose_entry_is_removed_leaves():
+    rig = _Rig()
+    rig.told(_record(1, "a"), _record(2, "b"))
+    rig.told(_gone(3, "a"))
+    assert rig.usable() == ["b"]
+
+
+def test_entries_that_lapsed_with_the_store_are_held_until_they_return():
+    rig = _Rig()
+    rig.told(_record(1, "a"), _record(2, "b"))
+    rig.told(_gone(3, "a"), _gone(4, "b"), away=True)
+    rig.passes(2.4)
+    assert rig.usable() == ["a", "b"]
+    rig.told(_record(5, "a"))
+    rig.passes(0.2)
+    assert rig.usable() == ["a"]
+
+
+def test_newest_records_without_a_server_mean_that_it_left():
+    rig = _Rig()
+    rig.told(_record(1, "a"), _record(2, "b"), end=3)
+    rig.told(_record(2, "b"), end=9, newest=True)
+    assert rig.usable() == ["b"]
+
+
+def test_old_answer_does_not_remove_a_server_that_came_later():
+    rig = _Rig()
+    rig.told(_record(7, "new"), end=8)
+    rig.told(_record(2, "b"), end=5, newest=True)
+    assert rig.usable() == ["b", "new"]
+
+
+def test_server_proved_gone_does_not_come_back_by_an_old_record():
+    rig = _Rig()
+    rig.told(_record(5, "a"))
+    rig.list.forget("a", "another life has its address")
+    rig.told(_record(5, "a"))
+    assert rig.usable() == []
+
+
+def test_malformed_record_leaves_what_was_known():
+    rig = _Rig()
+    rig.told(_record(1, "a"))
+    rig.told(platform.KeyedRecord(ids.Offset(2), "a", b"{"))
+    assert rig.usable() == ["a"]
--- /dev/null
+++ b/testing/edge/test_decisions.py
@@ -0,0 +1,171 @@
+# SPDX-License-Identifier: Apache-2.0
+"""Choice, admission, pace and what comes of events, without I/O."""
+
+import datetime
+import random
+
+from hypothesis import given
+from hypothesis import strategies as st
+import pytest
+
+from lugcross import desired
+from lugcross.edge import admission
+from lugcross.edge import choice
+from lugcross.edge import events
+from lugcross.edge import pace
+from lugcross import ids
+
+ENGINE = desired.Engine(
+    slots=6, kv_tokens=1000, stride=6, step_ms=5.0, per_seq_ms=0.5
+)
+LIMIT = datetime.timedelta(milliseconds=120)
+
+
+def _backend(name: str, domain: str = "d1") -> desired.Backend:
+    return desired.Backend(
+        key=desired.BackendKey(name),
+        service=ids.ServiceName("s"),
+        host="127.0.0.1",
+        port=1,
+        domain=ids.DomainName(domain),
+        slots=6,
+        state=desired.BackendState.READY,
+    )
+
+
+def _choose(*candidates: choice.Candidate, tried: tuple[str, ...] = ()):
+    found = choice.choose(
+        candidates,
+        home=ids.DomainName("d1"),
+        tried=[desired.BackendKey(one) for one in tried],
+        rng=random.Random(1),
+    )
+    return found.backend.key if found else None
+
+
+def test_least_busy_is_chosen():
+    one = choice.Candidate(backend=_backend("a"), busy=3)
+    two = choice.Candidate(backend=_backend("b"), busy=2)
+    assert _choose(one, two) == "b"
+
+
+def test_own_domain_is_chosen_unless_it_is_busier_by_more_than_the_way():
+    near = choice.Candidate(backend=_backend("near"), busy=2)
+    far = choice.Candidate(backend=_backend("far", "d2"), busy=2)
+    idle = choice.Candidate(backend=_backend("idle", "d2"), busy=0)
+    assert _choose(near, far) == "near"
+    assert _choose(near, idle) == "idle"
+
+
+def test_ejected_is_chosen_only_where_nothing_else_is_left():
+    bad = choice.Candidate(backend=_backend("bad"), busy=0, ejected=True)
+    good = choice.Candidate(backend=_backend("good"), busy=5)
+    assert _choose(bad, good) == "good"
+    assert _choose(bad, good, tried=("good",)) == "bad"
+    assert _choose(bad, good, tried=("good", "bad")) is None
+
+
+def _picture(**fields: int) -> admission.Picture:
+    usual = {"servers": 4, "busy": 0, "least": 0, "fresh": 0, "peers": 0}
+    return admission.Picture(**(usual | fields))
+
+
+def test_full_service_refuses():
+    assert admission.admit(_picture(busy=15), 4.0, back=False) is None
+    assert admission.admit(_picture(busy=16), 4.0, back=False)
+
+
+def test_last_places_are_kept_for_first_requests():
+    picture = _picture(busy=13)
+    assert admission.admit(picture, 4.0, back=False) is None
+    assert admission.admit(picture, 4.0, back=True)
+
+
+def test_what_peers_may_have_sent_meanwhile_counts():
+    picture = _picture(busy=8, fresh=2, peers=7)
+    assert admission.admit(picture, 4.0, back=False)
+
+
+def test_request_with_less_time_left_has_been_refused_before():
+    returns = admission.Returns()
+    full = datetime.timedelta(seconds=8)
+    assert not returns.is_back(full)
+    assert not returns.is_back(full - datetime.timedelta(milliseconds=20))
+    assert returns.is_back(full - datetime.timedelta(seconds=1))
+    assert not returns.is_back(None)
+
+
+def test_shorter_deadlines_are_learned_as_usual_in_time():
+    returns = admission.Returns()
+    returns.is_back(datetime.timedelta(seconds=8))
+    shorter = datetime.timedelta(seconds=5)
+    told = [returns.is_back(shorter) for _ in range(200)]
+    assert told[0] and not told[-1]
+
+
+@given(st.floats(10, 400), st.floats(1, 6))
+def test_learned_fullness_stays_between_half_and_all_slots(pause_ms, load):
+    learned = pace.Pace()
+    for _ in range(50):
+        learned.paused(
+            datetime.timedelta(milliseconds=pause_ms),
+            engine=ENGINE,
+            per_engine=load,
+            limit=LIMIT,
+        )
+    assert 3.0 <= learned.full(ENGINE, LIMIT) <= 6.0
+
+
+def _full_after(pause_ms: float) -> float:
+    learned = pace.Pace()
+    for _ in range(300):
+        learned.paused(
+            datetime.timedelta(milliseconds=pause_ms),
+            engine=ENGINE,
+            per_engine=4.0,
+            limit=LIMIT,
+        )
+    return learned.full(ENGINE, LIMIT)
+
+
+def test_longer_pauses_leave_room_for_fewer_requests():
+    assert _full_after(110.0) < _full_after(85.0) < _full_after(60.0)
+
+
+def test_pause_of_a_fault_teaches_nothing():
+    learned = pace.Pace()
+    before = learned.full(ENGINE, LIMIT)
+    learned.paused(
+        datetime.timedelta(seconds=2),
+        engine=ENGINE,
+        per_engine=1.0,
+        limit=LIMIT,
+    )
+    assert learned.full(ENGINE, LIMIT) == before
+
+
+@given(st.lists(st.integers(1, 60), max_size=12))
+def test_events_come_whole_however_their_bytes_are_cut(sizes):
+    whole = [b"id: %d\ndata: %s\n\n" % (n, b"x" * n) for n in range(8)]
+    data = b"".join(whole)
+    splitter = events.Splitter()
+    got = []
+    for size in [*sizes, len(data)]:
+        got += splitter.feed(data[:size])
+        data = data[size:]
+    assert got == whole
+    assert splitter.rest == b""
+
+
+@pytest.mark.parametrize(
+    ("event", "than", "later"),
+    [
+        (b"id: 10\ndata: x\n\n", "9", True),
+        (b"id: 9\ndata: x\n\n", "9", False),
+        (b"weight-versions: 2\nid: 3\ndata: x\n\n", "4", False),
+        (b"data: x\n\n", "4", True),
+    ],
+    ids=["next", "same", "after-another-line", "no-id"],
+)
+def test_event_is_later_by_its_number(event, than, later):
+    assert events.is_later(event, than) is later
--- /dev/null
+++ b/testing/edge/test_knowledge.py
@@ -0,0 +1,225 @@
+# SPDX-License-Identifier: Apache-2.0
+"""Where knowledge comes from when the store answers, is away or lies."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import datetime
+import json
+
+import cbor2
+import edge_rig
+
+from lugcross import clock as clock_lib
+from lugcross import desired
+from lugcross.edge import follow
+from lugcross.edge import knowledge as knowledge_lib
+from lugcross.edge import loads as loads_lib
+from lugcross.edge import peers as peers_lib
+from lugcross.edge import settings as settings_lib
+from lugcross.edge import world as world_lib
+from lugcross import ids
+from lugcross import platform
+from lugcross.standin import store as standin
+
+HOST = edge_rig.HOST
+
+
+def _state(version: int) -> bytes:
+    return json.dumps(
+        {
+            "version": version,
+            "routes": [],
+            "services": [],
+            "limits": {
+                "header_bytes": 1,
+                "body_bytes": 1,
+                "header_ms": 1,
+                "idle_ms": 1,
+            },
+        }
+    ).encode()
+
+
+BACKEND = b'{"service":"s","address":"10.0.0.1:80","slots":6}'
+
+
+class _Node:
+    """One process's knowledge, without callers."""
+
+    def __init__(self, name: str, store: str, seeds: tuple[str, ...]) -> None:
+        port = edge_rig.free_port()
+        self.state = f"{HOST}:{port}"
+        settings = settings_lib.Settings(
+            node=name,
+            domain="d1",
+            listen=settings_lib.Listen(
+                callers=f"{HOST}:0",
+                ready=f"{HOST}:0",
+                state=self.state,
+                peers=self.state,
+            ),
+            store=settings_lib.Store(
+                address=store, form="log", heartbeat_ms=1000
+            ),
+            bounds=edge_rig.BOUNDS,
+            seeds=seeds,
+        )
+        clock = clock_lib.SystemClock()
+        self.world = world_lib.World(
+            settings, clock=clock, rng=edge_rig.new_rng()
+        )
+        self.client = platform.StoreClient(
+            store, timeout=datetime.timedelta(seconds=30)
+        )
+        self.knowledge = knowledge_lib.Knowledge(
+            settings, self.world, self.client, clock=clock
+        )
+
+
+def _play(act: Callable[[standin.StoreStandin, str], Awaitable[object]]):
+    async def main() -> object:
+        store = standin.StoreStandin()
+        address = await store.start(HOST)
+        try:
+            async with asyncio.timeout(60):
+                return await act(store, address)
+        finally:
+            store.close()
+
+    return asyncio.run(main())
+
+
+async def _until(done: Callable[[], bool]) -> None:
+    while not done():
+        await asyncio.sleep(0)
+
+
+def test_older_version_never_replaces_a_newer_one():
+    async def act(store, address):
+        node = _Node("n1", address, ())
+        for offset, version in enumerate((3, 5, 4)):
+            record = platform.KeyedRecord(
+                ids.Offset(offset), platform.DESIRED_KEY, _state(version)
+            )
+            tail = platform.Tail(end=ids.Offset(9), records=(record,))
+            node.knowledge.take_desired(tail, newest=True)
+        return node.world.desired.version
+
+    assert _play(act) == 5
+
+
+def test_malformed_desired_state_leaves_the_one_in_force():
+    async def act(store, address):
+        node = _Node("n1", address, ())
+        for value in (_state(3), b"{"):
+            record = platform.KeyedRecord(
+                ids.Offset(0), platform.DESIRED_KEY, value
+            )
+            tail = platform.Tail(end=ids.Offset(9), records=(record,))
+            node.knowledge.take_desired(tail, newest=False)
+        return node.world.desired.version
+
+    assert _play(act) == 3
+
+
+def test_process_that_starts_while_the_store_is_away_asks_a_seed():
+    async def act(store, address):
+        one = _Node("n1", address, ())
+        await one.knowledge.start()
+        one.world.adopt(platform.read_desired(_state(7)), _state(7))
+        row = platform.KeyedRecord(ids.Offset(4), "i-1", BACKEND)
+        one.world.backends.apply(
+            platform.Tail(end=ids.Offset(5), records=(row,)),
+            store_was_away=False,
+        )
+        store.busy = True
+        two = _Node("n2", address, (one.state,))
+        await two.knowledge.start()
+        task = asyncio.create_task(two.knowledge.run())
+        await _until(lambda: two.world.desired is not None)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        one.knowledge.close()
+        two.knowledge.close()
+        known = [backend.key for backend in two.world.backends.all()]
+        return two.world.desired.version, known, two.world.backends.end
+
+    assert _play(act) == (7, ["i-1"], 5)
+
+
+def test_process_that_misses_a_change_hears_of_it_from_a_peer():
+    async def act(store, address):
+        one = _Node("n1", address, ())
+        two = _Node("n2", address, ())
+        tasks = []
+        for node in (one, two):
+            await node.knowledge.start()
+            tasks.append(asyncio.create_task(node.knowledge.run()))
+        await _until(lambda: bool(one.knowledge.peers.live()))
+        # Only one of them is told, as if the other's read hung.
+        one.world.adopt(platform.read_desired(_state(8)), _state(8))
+        one.knowledge.peers.changed()
+        await _until(lambda: two.world.desired is not None)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        one.knowledge.close()
+        two.knowledge.close()
+        return two.world.desired.version
+
+    assert _play(act) == 8
+
+
+def test_follower_starts_again_from_the_newest_when_history_is_dropped():
+    async def act(store, address):
+        client = platform.StoreClient(
+            address, timeout=datetime.timedelta(seconds=30)
+        )
+        taken = []
+        trouble = follow.Trouble(clock_lib.SystemClock())
+        follower = follow.Follower(
+            client,
+            "keyed.t",
+            lambda tail, newest: taken.append(
+                (newest, [record.value for record in tail.records])
+            ),
+            trouble,
+            gap=datetime.timedelta(),
+            wait=datetime.timedelta,
+        )
+        store.append("keyed.t", "a", b"1")
+        task = asyncio.create_task(follower.run())
+        await _until(lambda: len(taken) >= 2)
+        store.append("keyed.t", "a", b"2")
+        store.append("keyed.t", "b", b"3")
+        store.drop_history("keyed.t")
+        await _until(lambda: (True, [b"2", b"3"]) in taken)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        client.close()
+        return taken[0]
+
+    assert _play(act) == (True, [b"1"])
+
+
+def test_malformed_datagram_is_dropped():
+    peers = peers_lib.Peers(
+        lambda known: None,
+        lambda peer: None,
+        own="127.0.0.1:1",
+        clock=clock_lib.ManualClock(),
+    )
+    for data in (b"", b"\xff", cbor2.dumps({"a": 1}), cbor2.dumps([1])):
+        peers.datagram_received(data, (HOST, 9))
+    assert peers.live() == []
+
+
+def test_requests_of_a_silent_peer_count_no_more():
+    clock = clock_lib.ManualClock()
+    loads = loads_lib.Loads(clock)
+    key = desired.BackendKey("i-1")
+    loads.peer_told("n2", {key: 3})
+    assert loads.busy(key) == 3
+    clock.advance(datetime.timedelta(seconds=2))
+    assert loads.busy(key) == 0
--- /dev/null
+++ b/testing/platform/test_store.py
@@ -0,0 +1,116 @@
+# SPDX-License-Identifier: Apache-2.0
+"""The store's client against our stand-in of the store."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import datetime
+
+import pytest
+
+from lugcross import errors
+from lugcross import ids
+from lugcross import platform
+from lugcross.standin import store as standin
+
+TOPIC = "keyed.t"
+NO_WAIT = datetime.timedelta()
+LONG = datetime.timedelta(seconds=30)
+Act = Callable[[standin.StoreStandin, platform.StoreClient], Awaitable[object]]
+
+
+def _play(act: Act) -> object:
+    async def main() -> object:
+        store = standin.StoreStandin()
+        client = platform.StoreClient(
+            await store.start("127.0.0.1"), timeout=LONG
+        )
+        try:
+            return await act(store, client)
+        finally:
+            client.close()
+            store.close()
+
+    return asyncio.run(main())
+
+
+def test_newest_records_come_from_all_pages_and_follow_the_first_end():
+    async def act(store, client):
+        store.page = 2
+        for key in ("a", "b", "c", "a"):
+            store.append(TOPIC, key, key.encode())
+        tail = await client.newest(TOPIC)
+        return [(r.offset, r.key) for r in tail.records], tail.end
+
+    assert _play(act) == ([(3, "a"), (1, "b"), (2, "c")], 4)
+
+
+def test_tail_has_offsets_keys_values_and_removals():
+    async def act(store, client):
+        store.append(TOPIC, "a", b"1")
+        store.append(TOPIC, "b", b"2")
+        store.append(TOPIC, "a", b"")
+        return await client.tail(TOPIC, ids.Offset(1), wait=NO_WAIT)
+
+    tail = _play(act)
+    assert tail.end == 3
+    assert tail.records == (
+        platform.KeyedRecord(ids.Offset(1), "b", b"2"),
+        platform.KeyedRecord(ids.Offset(2), "a", b""),
+    )
+
+
+def test_waiting_read_ends_with_the_next_record():
+    async def act(store, client):
+        read = asyncio.create_task(
+            client.tail(TOPIC, ids.Offset(0), wait=LONG)
+        )
+        while not store.calls:
+            await asyncio.sleep(0)
+        store.append(TOPIC, "a", b"1")
+        return len((await read).records)
+
+    assert _play(act) == 1
+
+
+def test_dropped_history_is_told_apart_from_an_outage():
+    async def act(store, client):
+        store.append(TOPIC, "a", b"1")
+        store.drop_history(TOPIC)
+        with pytest.raises(errors.OffsetExpiredError):
+            await client.tail(TOPIC, ids.Offset(0), wait=NO_WAIT)
+        store.busy = True
+        with pytest.raises(errors.LogUnavailableError):
+            await client.tail(TOPIC, ids.Offset(1), wait=NO_WAIT)
+        return True
+
+    assert _play(act)
+
+
+def test_put_is_read_back():
+    async def act(store, client):
+        await client.put(TOPIC, "k", b"value")
+        tail = await client.newest(TOPIC)
+        return [(r.key, r.value) for r in tail.records]
+
+    assert _play(act) == [("k", b"value")]
+
+
+def test_store_that_is_not_there_is_an_outage():
+    async def act(store, client):
+        store.close()
+        with pytest.raises(errors.LogUnavailableError):
+            await client.newest(TOPIC)
+        return True
+
+    assert _play(act)
+
+
+def test_connection_is_kept_between_calls():
+    async def act(store, client):
+        await client.newest(TOPIC)
+        first = list(client._idle)
+        await client.newest(TOPIC)
+        return first == client._idle
+
+    assert _play(act)
--- /dev/null
+++ b/testing/routing/test_window.py
@@ -0,0 +1,43 @@
+# SPDX-License-Identifier: Apache-2.0
+"""The repeat budget, for any run of requests and repeats."""
+
+import datetime
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lugcross import routing
+
+RATIO = 0.2
+WINDOW = 10.0
+
+
+@given(
+    st.lists(
+        st.tuples(st.floats(0, 2), st.booleans()), min_size=1, max_size=300
+    )
+)
+def test_repeats_of_any_window_stay_within_the_ratio(steps):
+    budget = routing.RepeatBudget(ratio=RATIO, window_s=WINDOW)
+    now = 0.0
+    asked: list[float] = []
+    spent: list[float] = []
+    for gap, asks in steps:
+        now += gap
+        moment = datetime.timedelta(seconds=now)
+        if asks:
+            budget.asked(moment)
+            asked.append(now)
+        elif budget.spend(moment):
+            spent.append(now)
+        # One second of slack: the window's edges are inclusive.
+        in_window = [t for t in spent if now - t < WINDOW]
+        requests = [t for t in asked if now - t <= WINDOW]
+        assert len(in_window) <= 1 + RATIO * len(requests)
+
+
+def test_budget_is_there_again_once_its_window_has_passed():
+    budget = routing.RepeatBudget(ratio=RATIO, window_s=WINDOW)
+    assert budget.spend(datetime.timedelta())
+    assert not budget.spend(datetime.timedelta(seconds=5))
+    assert budget.spend(datetime.timedelta(seconds=11))
--- /dev/null
+++ b/testing/support/edge_rig.py
@@ -0,0 +1,378 @@
+# SPDX-License-Identifier: Apache-2.0
+"""An edge process's runner before scripted backend servers, on loopback."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import dataclasses
+import datetime
+import random
+import socket
+
+from lugcross import clock as clock_lib
+from lugcross import desired
+from lugcross.edge import runner as runner_lib
+from lugcross.edge import settings as settings_lib
+from lugcross.edge import world as world_lib
+from lugcross import http1
+from lugcross import ids
+from lugcross import platform
+
+HOST = "127.0.0.1"
+KEY = "key-of-a"
+#: Times are far off: no test waits for them.
+LIMITS = desired.Limits(
+    head_bytes=4096,
+    body_bytes=1024,
+    head_time=datetime.timedelta(seconds=30),
+    idle_time=datetime.timedelta(seconds=30),
+)
+BOUNDS = settings_lib.Bounds(
+    grace_s=8,
+    drain_ms=2000,
+    change_ms=2000,
+    repeat_ratio=0.2,
+    repeat_window_s=10,
+    repeat_slack=0,
+    contact_ms=3000,
+)
+
+
+def new_rng() -> random.Random:
+    """Return a generator that gives the same on every run."""
+    return random.Random(1)
+
+
+def free_port() -> int:
+    """Return a port that is free for TCP and UDP now."""
+    with socket.socket() as sock:
+        sock.bind((HOST, 0))
+        port: int = sock.getsockname()[1]
+    return port
+
+
+@dataclasses.dataclass
+class Seen:
+    """One request that reached a backend server."""
+
+    line: bytes
+    headers: dict[bytes, bytes]
+    body: bytes
+
+
+#: What a backend server does with one request.
+Script = Callable[[Seen, asyncio.StreamWriter], Awaitable[None]]
+
+
+def answer(
+    status: int = 200,
+    body: bytes = b"whole",
+    *headers: bytes,
+    seal: bool = True,
+) -> Script:
+    """Return a script that answers, with the request's id and a seal."""
+
+    async def script(seen: Seen, writer: asyncio.StreamWriter) -> None:
+        lines = [
+            b"HTTP/1.1 %d X" % status,
+            b"Content-Length: %d" % len(body),
+            b"Attempt-Identifier: " + seen.headers[b"attempt-identifier"],
+            *headers,
+        ]
+        if seal:
+            lines.append(b"Response-Seal: s1")
+        writer.write(b"\r\n".join(lines) + b"\r\n\r\n" + body)
+
+    return script
+
+
+def events(*parts: bytes, end: bool = True, seal: bytes = b"s1") -> Script:
+    """Return a script that streams ``parts``; cut short without an end."""
+
+    async def script(seen: Seen, writer: asyncio.StreamWriter) -> None:
+        attempt_id = seen.headers[b"attempt-identifier"]
+        writer.write(
+            b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+            b"Transfer-Encoding: chunked\r\nAttempt-Identifier: "
+            + attempt_id
+            + b"\r\nResponse-Seal: "
+            + seal
+            + b"\r\n\r\n"
+        )
+        for part in parts:
+            writer.write(b"%x\r\n%s\r\n" % (len(part), part))
+            await writer.drain()
+        if end:
+            writer.write(b"0\r\n\r\n")
+        else:
+            writer.close()
+
+    return script
+
+
+def raw(data: bytes, *, close: bool = False) -> Script:
+    """Return a script that writes bytes as they are."""
+
+    async def script(seen: Seen, writer: asyncio.StreamWriter) -> None:
+        del seen
+        writer.write(data)
+        if close:
+            writer.close()
+
+    return script
+
+
+async def hang(seen: Seen, writer: asyncio.StreamWriter) -> None:
+    """Never answer."""
+    del seen, writer
+
+
+class FakeBackend:
+    """A backend server that follows a script, one entry a request."""
+
+    def __init__(self, scripts: list[Script]) -> None:
+        self.scripts = scripts
+        self.seen: list[Seen] = []
+        self.connections = 0
+        self.gone = asyncio.Event()
+        self.asked = asyncio.Event()
+        self.port = 0
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        self._server = await asyncio.start_server(self._serve, HOST, 0)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    def close(self) -> None:
+        assert self._server is not None
+        self._server.close()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.connections += 1
+        try:
+            while True:
+                seen = await _read(reader)
+                self.seen.append(seen)
+                script = self.scripts.pop(0)
+                await script(seen, writer)
+                self.asked.set()
+        except (asyncio.IncompleteReadError, ConnectionError):
+            self.gone.set()
+            writer.close()
+
+
+async def _read(reader: asyncio.StreamReader) -> Seen:
+    head = await reader.readuntil(b"\r\n\r\n")
+    line, *rest = head[:-4].split(b"\r\n")
+    headers = {}
+    for one in rest:
+        name, _, value = one.partition(b":")
+        headers[name.lower()] = value.strip()
+    length = int(headers.get(b"content-length", b"0"))
+    return Seen(line, headers, await reader.readexactly(length))
+
+
+@dataclasses.dataclass
+class Got:
+    """What a caller received, as raw bytes and taken apart."""
+
+    status: int
+    headers: dict[bytes, bytes]
+    body: bytes
+    whole: bool
+
+
+class Rig:
+    """A runner, its world and the backend servers before it."""
+
+    def __init__(self) -> None:
+        self.clock = clock_lib.SystemClock()
+        settings = settings_lib.Settings(
+            node="n1",
+            domain="d1",
+            listen=settings_lib.Listen(
+                callers=f"{HOST}:0",
+                ready=f"{HOST}:0",
+                state=f"{HOST}:0",
+                peers=f"{HOST}:0",
+            ),
+            store=settings_lib.Store(
+                address=f"{HOST}:1", form="log", heartbeat_ms=1000
+            ),
+            bounds=BOUNDS,
+        )
+        rng = new_rng()
+        self.world = world_lib.World(settings, clock=self.clock, rng=rng)
+        self.closed = False
+        self.leaving = False
+        self.runner = runner_lib.Runner(
+            self.world,
+            closed=lambda: self.closed,
+            changed=lambda: None,
+            clock=self.clock,
+            rng=rng,
+        )
+        self.backends: list[FakeBackend] = []
+        self._server: asyncio.Server | None = None
+        self.port = 0
+
+    async def start(self, *scripts: list[Script]) -> None:
+        """Start one backend server for each list of scripts."""
+        rows = []
+        for num, one in enumerate(scripts):
+            backend = FakeBackend(one)
+            await backend.start()
+            self.backends.append(backend)
+            # The slots make the first one the least busy by far.
+            value = (
+                '{"service":"app","address":"%s:%d","zone":"d1",'
+                '"slots":%d,"state":"ready"}'
+                % (HOST, backend.port, 100 - 10 * num)
+            )
+            rows.append(
+                platform.KeyedRecord(
+                    ids.Offset(num), f"i-{num}", value.encode()
+                )
+            )
+        tail = platform.Tail(end=ids.Offset(len(rows)), records=tuple(rows))
+        self.world.backends.apply(tail, store_was_away=False)
+        self._server = await asyncio.start_server(self._serve, HOST, 0)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    def close(self) -> None:
+        assert self._server is not None
+        self._server.close()
+        self.world.pool.close()
+        for backend in self.backends:
+            backend.close()
+
+    def adopt(self, *routes: desired.Route, version: int = 1) -> None:
+        """Put a desired state with ``routes`` in force."""
+        workspace = desired.Workspace(name=ids.WorkspaceName("space-a"))
+        self.world.adopt(
+            desired.Desired(
+                version=version,
+                routes={"h": routes},
+                services={},
+                limits=LIMITS,
+                keys={KEY: workspace},
+                keyed=True,
+            ),
+            b"",
+        )
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        conn = http1.ServerConn(
+            reader,
+            writer,
+            self.runner.handle,
+            limits=lambda: LIMITS,
+            leaving=lambda: self.leaving,
+            clock=self.clock,
+        )
+        await conn.run()
+
+    async def send(self, data: bytes) -> Got:
+        """Send raw bytes and read until the connection ends."""
+        reader, writer = await asyncio.open_connection(HOST, self.port)
+        writer.write(data)
+        got = await reader.read()
+        writer.close()
+        return take_apart(got)
+
+    async def ask(
+        self,
+        *headers: bytes,
+        method: bytes = b"GET",
+        path: bytes = b"/r/x",
+        body: bytes = b"",
+        time_left: int = 5000,
+    ) -> Got:
+        """Send one request with all that a proper one has."""
+        return await self.send(
+            request(
+                *headers,
+                method=method,
+                path=path,
+                body=body,
+                time_left=time_left,
+            )
+        )
+
+
+def request(
+    *headers: bytes,
+    method: bytes = b"GET",
+    path: bytes = b"/r/x",
+    body: bytes = b"",
+    time_left: int = 5000,
+) -> bytes:
+    """Return the bytes of a proper request."""
+    lines = [
+        method + b" " + path + b" HTTP/1.1",
+        b"Host: h",
+        b"Attempt-Identifier: a1",
+        b"Time-Remaining: %d" % time_left,
+        b"X-Api-Key: " + KEY.encode(),
+        b"Connection: close",
+        *headers,
+    ]
+    if body:
+        lines.append(b"Content-Length: %d" % len(body))
+    return b"\r\n".join(lines) + b"\r\n\r\n" + body
+
+
+def take_apart(data: bytes) -> Got:
+    """Return what the bytes of one answer say."""
+    head, _, rest = data.partition(b"\r\n\r\n")
+    line, *lines = head.split(b"\r\n")
+    headers = {}
+    for one in lines:
+        name, _, value = one.partition(b":")
+        headers[name.lower()] = value.strip()
+    status = int(line.split(b" ")[1]) if line else 0
+    if headers.get(b"transfer-encoding") == b"chunked":
+        body, whole = _unchunk(rest)
+    else:
+        body = rest
+        whole = len(rest) == int(headers.get(b"content-length", b"-1"))
+    return Got(status, headers, body, whole)
+
+
+def _unchunk(data: bytes) -> tuple[bytes, bool]:
+    body = b""
+    while data:
+        size, _, data = data.partition(b"\r\n")
+        if int(size, 16) == 0:
+            return body, True
+        body += data[: int(size, 16)]
+        data = data[int(size, 16) + 2 :]
+    return body, False
+
+
+def route(
+    kind: desired.Kind, *, attempts: int = 2, resumable: bool = False
+) -> desired.Route:
+    """Return a route of ``kind`` to the service ``app``."""
+    return desired.Route(
+        name="r",
+        host="h",
+        prefix="/r/",
+        kind=kind,
+        shares=(desired.Share(ids.ServiceName("app"), 1.0),),
+        timeout=datetime.timedelta(seconds=5),
+        target=datetime.timedelta(milliseconds=400),
+        attempts=attempts,
+        resumable=resumable,
+    )
+
+
+SAFE = route(desired.Kind.SAFE)
+UNSAFE = route(desired.Kind.UNSAFE, attempts=1)
+UNSAFE_TWICE = route(desired.Kind.UNSAFE, attempts=2)
+STREAM = route(desired.Kind.STREAM, resumable=True)
+STREAM_ONCE = route(desired.Kind.STREAM)
