Log each answer and refusal with its inputs, and serve figures

Cause: on-call engineers have only logs and metrics; a refusal named no inputs and an answer left no line. Change: one line an answer and a refusal with version, load, fullness and the list's age; lines go to standard output and are dropped and counted where writing would wait; counters, histograms and gauges in Prometheus's text at the metrics address. The suite runs five tests side by side.

--- a/Makefile
+++ b/Makefile
@@ -16,8 +16,12 @@
 demo: venv
 	$(BIN)/lugcross demo
 
+# Most of a process test is waiting for processes to start and end, so
+# that a few side by side cost little; each takes ports of its own.
+TEST_JOBS ?= 5
+
 test: venv
-	$(BIN)/pytest
+	$(BIN)/pytest -n $(TEST_JOBS) --dist worksteal
 
 lint: venv
 	$(BIN)/ruff format --check .
--- /dev/null
+++ b/bench/http_edge.py
@@ -0,0 +1,145 @@
+# SPDX-License-Identifier: Apache-2.0
+"""What the callers' HTTP server notices, and what idle callers cost.
+
+Compares the edge's server (h11 over asyncio) with cheroot: how long until
+a handler that waits hears that its caller has left; and tells what memory
+an idle connection of the edge takes. Run: ``python bench/http_edge.py``.
+"""
+
+import asyncio
+from collections.abc import Callable
+import datetime
+import pathlib
+import socket
+import threading
+import time
+
+from cheroot import wsgi
+
+from lugcross import clock as clock_lib
+from lugcross import desired
+from lugcross import http1
+
+#: Idle connections that are opened, and how long a caller that has left
+#: is waited for, in seconds.
+IDLE = 1500
+PATIENCE_S = 2.0
+_LIMITS = desired.Limits(
+    head_bytes=16_384,
+    body_bytes=1_048_576,
+    head_time=datetime.timedelta(seconds=30),
+    idle_time=datetime.timedelta(seconds=60),
+)
+_REQUEST = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+
+
+def _rss_mb() -> float:
+    text = pathlib.Path("/proc/self/status").read_text(encoding="ascii")
+    line = next(x for x in text.splitlines() if x.startswith("VmRSS"))
+    return int(line.split()[1]) / 1024
+
+
+def _leave(port: int, begun: threading.Event) -> float:
+    """Send a request, leave once it is being handled; return when."""
+    sock = socket.create_connection(("127.0.0.1", port))
+    sock.sendall(_REQUEST)
+    begun.wait(PATIENCE_S)
+    sock.close()
+    return time.monotonic()
+
+
+def _idle(port: int) -> float:
+    """Return the memory that one idle connection takes, in KB."""
+    before = _rss_mb()
+    socks = []
+    for _ in range(IDLE):
+        socks.append(socket.create_connection(("127.0.0.1", port)))
+    time.sleep(1.0)
+    took = _rss_mb() - before
+    for sock in socks:
+        sock.close()
+    return took * 1024 / IDLE
+
+
+def _edge() -> tuple[float | None, float]:
+    begun, ended = threading.Event(), threading.Event()
+    port_box: list[int] = []
+    ready = threading.Event()
+
+    async def handler(exchange: http1.Exchange, req: http1.Request) -> None:
+        del exchange, req
+        begun.set()
+        try:
+            await asyncio.sleep(60)
+        finally:
+            ended.set()
+
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        conn = http1.ServerConn(
+            reader,
+            writer,
+            handler,
+            limits=lambda: _LIMITS,
+            leaving=lambda: False,
+            clock=clock_lib.SystemClock(),
+        )
+        await conn.run()
+
+    async def listen() -> None:
+        server = await asyncio.start_server(
+            serve, "127.0.0.1", 0, backlog=1024
+        )
+        port_box.append(server.sockets[0].getsockname()[1])
+        ready.set()
+        await asyncio.sleep(60)
+
+    threading.Thread(target=asyncio.run, args=(listen(),), daemon=True).start()
+    ready.wait()
+    left = _leave(port_box[0], begun)
+    noticed = ended.wait(PATIENCE_S)
+    took = time.monotonic() - left if noticed else None
+    return took, _idle(port_box[0])
+
+
+def _cheroot() -> float | None:
+    begun, ended = threading.Event(), threading.Event()
+
+    def app(environ: dict, start_response: Callable) -> list[bytes]:
+        del environ
+        begun.set()
+        # A handler that waits for its backend server is blocked here; it
+        # has no way to hear of its caller but to write.
+        time.sleep(PATIENCE_S * 2)
+        ended.set()
+        start_response("200 OK", [("Content-Length", "0")])
+        return []
+
+    server = wsgi.Server(("127.0.0.1", 0), app, numthreads=1)
+    server.prepare()
+    threading.Thread(target=server.serve, daemon=True).start()
+    left = _leave(server.bind_addr[1], begun)
+    noticed = ended.wait(PATIENCE_S)
+    took = time.monotonic() - left if noticed else None
+    ended.wait()
+    server.stop()
+    return took
+
+
+def _told(took: float | None) -> str:
+    if took is None:
+        return f"not heard within {PATIENCE_S:.0f} s"
+    return f"heard after {took * 1000:.1f} ms"
+
+
+def main() -> None:
+    """Print what was measured."""
+    took, idle_kb = _edge()
+    print(f"h11 over asyncio: caller that left: {_told(took)}")
+    print(f"h11 over asyncio: idle connection, both ends: {idle_kb:.1f} KB")
+    print(f"cheroot: caller that left: {_told(_cheroot())}")
+
+
+if __name__ == "__main__":
+    main()
--- a/src/lugcross/cli/edge.py
+++ b/src/lugcross/cli/edge.py
@@ -2,6 +2,7 @@
 """The entry program without agents."""
 
 import os
+import sys
 
 import click
 
@@ -23,6 +24,6 @@
     from lugcross.edge import settings as settings_lib
 
     settings = settings_lib.load(os.fspath(file))
-    logs.set_up(settings.node, settings.level)
+    logs.set_up_bounded(settings.node, settings.level, sys.stdout.fileno())
     program = edge_lib.Edge(settings, clock=clock.SystemClock(), file=file)
     program.run()
--- a/src/lugcross/edge/app.py
+++ b/src/lugcross/edge/app.py
@@ -4,6 +4,7 @@
 import asyncio
 from collections.abc import Coroutine
 import datetime
+import functools
 import random
 import signal
 from typing import Any
@@ -13,6 +14,7 @@
 
 from lugcross import clock as clock_lib
 from lugcross import desired
+from lugcross.edge import figures as figures_lib
 from lugcross.edge import follow
 from lugcross.edge import knowledge as knowledge_lib
 from lugcross.edge import ready as ready_lib
@@ -48,6 +50,8 @@
 #: Time between two looks at what is left to finish, in seconds.
 _DRAIN_LOOK_S = 0.05
 _BACKLOG = 1024
+#: What a list of unknown age is shown as, in seconds.
+_AGE_MOST_S = 1e6
 #: Bounds for callers until a desired state tells them.
 _FIRST_LIMITS = desired.Limits(
     head_bytes=16_384,
@@ -109,6 +113,12 @@
                 self._serve_ready, *_address(listen.ready)
             ),
         ]
+        if listen.metrics:
+            servers.append(
+                await asyncio.start_server(
+                    self._serve_metrics, *_address(listen.metrics)
+                )
+            )
         tasks = [asyncio.create_task(one) for one in self._loops()]
         logging.info("started", extra={"domain": self._settings.domain})
         try:
@@ -188,10 +198,37 @@
     async def _serve_ready(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        await self._serve_inner(
+            reader, writer, ready_lib.handler(self.unready)
+        )
+
+    async def _serve_metrics(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        age = self.world.backends.age()
+        state = self.world.desired
+        self.world.figures.now(
+            desired_version=state.version if state else 0,
+            backends=len(self.world.backends.all()),
+            backends_age_seconds=min(age.total_seconds(), _AGE_MOST_S),
+            store_lost=float(self.knowledge.trouble.now),
+            peers=len(self.knowledge.peers.live()),
+            connections=len(self._conns),
+        )
+        give = functools.partial(figures_lib.give, self.world.figures)
+        await self._serve_inner(reader, writer, give)
+
+    async def _serve_inner(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        handler: http1.Handler,
+    ) -> None:
+        """Serve someone of the platform rather than a caller."""
         conn = http1.ServerConn(
             reader,
             writer,
-            ready_lib.handler(self.unready),
+            handler,
             limits=lambda: _FIRST_LIMITS,
             leaving=lambda: self._leaving_since is not None,
             clock=self._clock,
--- a/src/lugcross/edge/attempt.py
+++ b/src/lugcross/edge/attempt.py
@@ -51,17 +51,27 @@
     """What the caller was given, over all attempts.
 
     :ivar begun: whether the caller has part of the answer.
+    :ivar first_at: when the first part was given.
+    :ivar last_id: id of the last event that was given.
     """
 
-    def __init__(self, exchange: http1.Exchange, plan: Plan) -> None:
+    def __init__(
+        self,
+        exchange: http1.Exchange,
+        plan: Plan,
+        clock: clock_lib.Clock,
+    ) -> None:
         self._exchange = exchange
+        self._clock = clock
+        self.first_at: clock_lib.Instant | None = None
+        self.status = 0
         self._held: tuple[http1.Answer, bytes] | None = None
         self.begun = False
         self.last_id = plan.head.last_event_id
 
     async def give(self, answer: http1.Answer, body: bytes) -> None:
         """Give a whole answer."""
-        self.begun = True
+        self._begin(answer)
         headers = platform.answer_headers(answer.raw)
         await self._exchange.head(answer.status, headers, body, whole=True)
 
@@ -82,10 +92,15 @@
         if self.begun:
             await self._exchange.data(data)
             return
-        self.begun = True
+        self._begin(answer)
         headers = platform.answer_headers(answer.raw)
         await self._exchange.head(answer.status, headers, data)
 
+    def _begin(self, answer: http1.Answer) -> None:
+        self.begun = True
+        self.status = answer.status
+        self.first_at = self._clock.monotonic()
+
     async def end(self, answer: http1.Answer) -> None:
         """Mark a stream as whole."""
         if not self.begun:
--- /dev/null
+++ b/src/lugcross/edge/figures.py
@@ -0,0 +1,86 @@
+# SPDX-License-Identifier: Apache-2.0
+"""Counters and histograms of one process, as text for collectors."""
+
+import datetime
+import http
+from typing import final
+
+import prometheus_client
+
+from lugcross import http1
+
+#: Bounds of the latency histograms, in seconds: around the times within
+#: which answers count as prompt, and up to the longest deadlines.
+_BOUNDS = (0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 1.0, 2.0, 4.0, 8.0)
+
+
+@final
+class Figures:
+    """What a process tells of itself in numbers."""
+
+    def __init__(self) -> None:
+        self._registry = prometheus_client.CollectorRegistry()
+        self._requests = prometheus_client.Counter(
+            "lugcross_requests",
+            "Requests by their final status.",
+            ("service", "status"),
+            registry=self._registry,
+        )
+        self._attempts = prometheus_client.Counter(
+            "lugcross_attempts",
+            "Attempts at backend servers by how they ended.",
+            ("service", "event"),
+            registry=self._registry,
+        )
+        self._first = prometheus_client.Histogram(
+            "lugcross_first_byte_seconds",
+            "Time from a request's head to the first of its answer.",
+            ("service",),
+            buckets=_BOUNDS,
+            registry=self._registry,
+        )
+        self._gauges = {
+            name: prometheus_client.Gauge(
+                f"lugcross_{name}", text, registry=self._registry
+            )
+            for name, text in (
+                ("desired_version", "Version of the desired state in force."),
+                ("backends", "Backend servers that are known."),
+                ("backends_age_seconds", "Age of the list of them."),
+                ("store_lost", "1 while the store does not answer."),
+                ("peers", "Peers that were heard lately."),
+                ("connections", "Callers' connections that are open."),
+            )
+        }
+
+    def answered(
+        self, service: str, status: int, first: datetime.timedelta | None
+    ) -> None:
+        """Count one request; ``first`` is none where nothing was given."""
+        self._requests.labels(service, str(status)).inc()
+        if first is not None:
+            self._first.labels(service).observe(first.total_seconds())
+
+    def attempt(self, service: str, event: str) -> None:
+        """Count one attempt at a backend server."""
+        self._attempts.labels(service, event).inc()
+
+    def now(self, **values: float) -> None:
+        """Set gauges to what holds now."""
+        for name, value in values.items():
+            self._gauges[name].set(value)
+
+    def text(self) -> bytes:
+        """Return all figures in Prometheus's text format."""
+        return prometheus_client.generate_latest(self._registry)
+
+
+async def give(
+    figures: Figures, exchange: http1.Exchange, req: http1.Request
+) -> None:
+    """Answer a collector."""
+    del req
+    headers = [(b"Content-Type", b"text/plain; version=0.0.4")]
+    await exchange.head(
+        http.HTTPStatus.OK, headers, figures.text(), whole=True
+    )
--- a/src/lugcross/edge/runner.py
+++ b/src/lugcross/edge/runner.py
@@ -4,6 +4,7 @@
 import asyncio
 from collections.abc import Callable
 import dataclasses
+import datetime
 import random
 from typing import final
 
@@ -21,6 +22,8 @@
 from lugcross import ids
 from lugcross import platform
 
+_MS = datetime.timedelta(milliseconds=1)
+
 
 @final
 class Runner:
@@ -50,13 +53,14 @@
     ) -> None:
         """Answer one request."""
         head = platform.read_caller_head(req.headers)
+        plan: attempt_lib.Plan | None = None
         try:
             plan = self._plan(req, head)
             await _Run(
                 self._world, self._clock, exchange, plan, self._changed
             ).run()
         except refusal.RefusedError as exc:
-            self._log_refusal(head, exc)
+            self._log_refusal(head, plan, exc)
             if exchange.started:
                 return
             await exchange.head(
@@ -117,14 +121,34 @@
         return self._rng.choices(route.shares, weights)[0].service
 
     def _log_refusal(
-        self, head: platform.CallerHead, exc: refusal.RefusedError
+        self,
+        head: platform.CallerHead,
+        plan: attempt_lib.Plan | None,
+        exc: refusal.RefusedError,
     ) -> None:
+        service = plan.service if plan else ""
+        self._world.figures.answered(service, exc.status, None)
+        inputs: dict[str, object] = {}
+        if plan is not None:
+            picture = self._world.picture(plan.service)
+            inputs = {
+                "service": plan.service,
+                "route": plan.route.name,
+                "version": plan.version,
+                "servers": picture.servers,
+                "busy": picture.busy,
+                "full": round(self._world.full(plan.route, plan.service), 2),
+                "list_age_s": round(
+                    self._world.backends.age().total_seconds(), 3
+                ),
+            }
         logging.info(
             "refused",
             extra={
                 "request": head.attempt_id,
                 "status": exc.status.value,
                 "why": exc.what,
+                **inputs,
             },
         )
 
@@ -145,7 +169,7 @@
         self._clock = clock
         self._plan = plan
         self._changed = changed
-        self._answer = attempt_lib.Delivery(exchange, plan)
+        self._answer = attempt_lib.Delivery(exchange, plan, clock)
         self._tried: set[desired.BackendKey] = set()
         self._state = lifecycle.State(
             repeatable=plan.route.repeatable, attempts=plan.route.attempts
@@ -185,7 +209,9 @@
             self._tried.add(backend.key)
             event = await self._send(backend)
             if event is None:
+                self._log_answer(backend)
                 return
+            self._world.figures.attempt(self._plan.service, event.value)
             self._state = lifecycle.after(self._state, event)
             found = self._choose()
             action = lifecycle.decide(
@@ -246,6 +272,31 @@
             raise refusal.broken("its time is over")
         raise refusal.timed_out()
 
+    def _log_answer(self, backend: desired.Backend) -> None:
+        """Tell how a request that has its answer came by it."""
+        plan = self._plan
+        first = self._answer.first_at
+        took = None if first is None else first - plan.req.at
+        status = self._answer.status
+        self._world.figures.answered(plan.service, status, took)
+        whole = self._clock.monotonic() - plan.req.at
+        logging.info(
+            "answered",
+            extra={
+                "request": plan.head.attempt_id,
+                "service": plan.service,
+                "route": plan.route.name,
+                "version": plan.version,
+                "backend": backend.key,
+                "domain": backend.domain,
+                "status": status,
+                "sent": self._state.sent + 1,
+                "first_ms": None if took is None else round(took / _MS),
+                "whole_ms": round(whole / _MS),
+                "last_id": self._answer.last_id,
+            },
+        )
+
     def _log(
         self,
         event: lifecycle.Event,
--- a/src/lugcross/edge/settings.py
+++ b/src/lugcross/edge/settings.py
@@ -23,12 +23,14 @@
     :param ready: for the platform's question whether to send any.
     :param state: for peers that ask what they missed.
     :param peers: for datagrams of peers.
+    :param metrics: for whoever collects figures; none without it.
     """
 
     callers: str
     ready: str
     state: str
     peers: str
+    metrics: str = ""
 
 
 @final
--- a/src/lugcross/edge/world.py
+++ b/src/lugcross/edge/world.py
@@ -13,6 +13,7 @@
 from lugcross.edge import admission
 from lugcross.edge import backends as backends_lib
 from lugcross.edge import choice
+from lugcross.edge import figures as figures_lib
 from lugcross.edge import loads as loads_lib
 from lugcross.edge import pace as pace_lib
 from lugcross.edge import pool as pool_lib
@@ -46,6 +47,7 @@
         )
         self.loads = loads_lib.Loads(clock)
         self.pool = pool_lib.Pool(clock)
+        self.figures = figures_lib.Figures()
 
     def adopt(self, state: desired.Desired, record: bytes) -> bool:
         """Put a desired state in force, unless it is not newer."""
--- a/src/lugcross/logs.py
+++ b/src/lugcross/logs.py
@@ -1,14 +1,18 @@
 # SPDX-License-Identifier: Apache-2.0
-"""Logs as JSON lines on standard error."""
+"""Logs as JSON lines: on standard error, or bounded on standard output."""
 
 import json
 import logging as std_logging
+import os
+import select
 from typing import Any
 from typing import final
 
 from absl import flags
 from absl import logging
 
+from lugcross import clock as clock_lib
+
 _STANDARD = frozenset(vars(std_logging.makeLogRecord({}))) | {"message"}
 
 
@@ -37,6 +41,80 @@
         return json.dumps(line, default=str)
 
 
+#: Lines that a process may write in a second, and in a burst; several
+#: times what a busy process needs. Past that they are counted.
+LINES_PER_S = 300.0
+_BURST = 600.0
+#: Longest line. A pipe takes up to this in one piece, so that a line
+#: whose pipe has room is written without waiting.
+_LONGEST = 4096
+
+
+@final
+class BoundedHandler(std_logging.Handler):
+    """Writes lines to a descriptor; drops and counts what would wait.
+
+    A reader that has stopped, or a flood of lines, must hold up no
+    request. The next line that is written tells how many were left out.
+
+    :param fd: file descriptor, usually of standard output.
+    """
+
+    def __init__(self, fd: int, clock: clock_lib.Clock) -> None:
+        super().__init__()
+        self._fd = fd
+        self._clock = clock
+        self._poll = select.poll()
+        self._poll.register(fd, select.POLLOUT)
+        self._tokens = _BURST
+        self._filled = clock.monotonic()
+        self.left_out = 0
+
+    def emit(self, record: std_logging.LogRecord) -> None:
+        """Write one record, unless that would wait."""
+        if not self._take_token() or not self._poll.poll(0):
+            self.left_out += 1
+            return
+        if self.left_out:
+            record.left_out = self.left_out
+        line = self.format(record).encode()[: _LONGEST - 1] + b"\n"
+        try:
+            os.write(self._fd, line)
+            self.left_out = 0
+        except OSError:
+            # Nobody reads any more; there is nowhere to tell it.
+            self.left_out += 1
+
+    def _take_token(self) -> bool:
+        now = self._clock.monotonic()
+        earned = (now - self._filled).total_seconds() * LINES_PER_S
+        self._tokens = min(_BURST, self._tokens + earned)
+        self._filled = now
+        if self._tokens < 1.0:
+            return False
+        self._tokens -= 1.0
+        return True
+
+
+def set_up_bounded(node: str, level: str, fd: int) -> BoundedHandler:
+    """Send all logs of this process to ``fd``, bounded.
+
+    :param level: ``debug``, ``info``, ``warning`` or ``error``.
+    """
+    flags.FLAGS.mark_as_parsed()
+    handler = BoundedHandler(fd, clock_lib.SystemClock())
+    handler.setFormatter(JsonFormatter(node))
+    root = std_logging.getLogger()
+    root.handlers = [handler]
+    absl_logger = logging.get_absl_logger()
+    absl_logger.handlers = []
+    absl_logger.propagate = True
+    logging.set_verbosity(level)
+    root.setLevel(absl_logger.level)
+    std_logging.getLogger("websockets").setLevel(std_logging.ERROR)
+    return handler
+
+
 def set_up(node: str, level: str) -> None:
     """Send all logs of this process to standard error as JSON lines.
 
--- a/testing/edge/test_answers.py
+++ b/testing/edge/test_answers.py
@@ -273,3 +273,15 @@
     got = play(rig.SAFE, [[]], act)
     assert got.status == 503
     assert float(got.headers[b"retry-after"]) > 0
+
+
+def test_figures_count_answers_refusals_and_attempts(play):
+    async def act(r):
+        await r.ask()
+        return r.world.figures.text().decode()
+
+    scripts = [[rig.answer(503, b"", NOT_RUN)], [rig.answer()]]
+    text = play(rig.UNSAFE_TWICE, scripts, act)
+    assert 'lugcross_attempts_total{event="not-run",service="app"} 1.0' in text
+    assert 'lugcross_requests_total{service="app",status="200"} 1.0' in text
+    assert 'lugcross_first_byte_seconds_count{service="app"} 1.0' in text
--- /dev/null
+++ b/testing/test_logs.py
@@ -0,0 +1,53 @@
+# SPDX-License-Identifier: Apache-2.0
+"""Logs of a process must hold up nothing, whoever reads them."""
+
+import json
+import logging
+import os
+
+from lugcross import clock as clock_lib
+from lugcross import logs
+
+
+def _record(text: str) -> logging.LogRecord:
+    return logging.LogRecord("x", logging.INFO, "f", 1, text, None, None)
+
+
+def _handler(fd: int) -> logs.BoundedHandler:
+    handler = logs.BoundedHandler(fd, clock_lib.ManualClock())
+    handler.setFormatter(logs.JsonFormatter("n1"))
+    return handler
+
+
+def test_blocked_reader_costs_lines_and_no_time():
+    out, into = os.pipe()
+    handler = _handler(into)
+    # Would block for good at a full pipe if a line were written.
+    for _ in range(500):
+        handler.emit(_record("x" * 1000))
+    assert handler.left_out > 0
+    os.read(out, 1 << 20)
+    handler.emit(_record("after"))
+    last = os.read(out, 1 << 20).decode().splitlines()[-1]
+    assert json.loads(last)["left_out"] > 0
+    assert handler.left_out == 0
+
+
+def test_flood_is_cut_off_and_counted():
+    out, into = os.pipe()
+    handler = _handler(into)
+    written = 0
+    for _ in range(2000):
+        handler.emit(_record("x"))
+        if not handler.left_out:
+            written += os.read(out, 1 << 20).count(b"\n")
+    assert written + handler.left_out == 2000
+    assert handler.left_out > 1000
+
+
+def test_reader_that_is_gone_harms_nothing():
+    out, into = os.pipe()
+    handler = _handler(into)
+    os.close(out)
+    handler.emit(_record("x"))
+    assert handler.left_out == 1
