Keep repeats for broken answers, and share the slack among processes

Change: repeats of refusals may use half of the budget; half of the slack that is allowed beyond is divided among all processes that may exist.

--- a/src/lugcross/edge/knowledge.py
+++ b/src/lugcross/edge/knowledge.py
@@ -56,6 +56,7 @@
             own=settings.listen.peers,
             clock=clock,
         )
+        world.known_peers = self.peers.known
         self._server = peers_lib.StateServer(self._answer)
 
     async def start(self) -> None:
--- a/src/lugcross/edge/peers.py
+++ b/src/lugcross/edge/peers.py
@@ -169,6 +169,10 @@
         """Note that there is news to tell soon."""
         self._news.set()
 
+    def known(self) -> int:
+        """Return how many peers may exist, heard lately or not."""
+        return len(self._peers)
+
     def live(self) -> list[Peer]:
         """Return the peers that were heard lately."""
         now = self._clock.monotonic()
--- a/src/lugcross/edge/runner.py
+++ b/src/lugcross/edge/runner.py
@@ -217,7 +217,7 @@
             action = lifecycle.decide(
                 self._state,
                 event,
-                another=found is not None and self._may_repeat(),
+                another=found is not None and self._may_repeat(event),
             )
             self._log(event, backend, action)
             if action is not lifecycle.Action.AGAIN or found is None:
@@ -238,7 +238,7 @@
         self._state = dataclasses.replace(self._state, begun=begun)
         return event
 
-    def _may_repeat(self) -> bool:
+    def _may_repeat(self, event: lifecycle.Event) -> bool:
         """Take one repeat from the budget, unless it would be the first.
 
         Only what arrived at a backend server counts against it.
@@ -247,8 +247,7 @@
             return False
         if not self._state.sent:
             return True
-        budget = self._world.budget(self._plan.service)
-        return budget.spend(self._clock.monotonic())
+        return self._world.may_repeat(self._plan.service, event)
 
     def _choose(self) -> choice.Candidate | None:
         return self._world.choose(self._plan.service, self._tried)
--- a/src/lugcross/edge/world.py
+++ b/src/lugcross/edge/world.py
@@ -1,6 +1,7 @@
 # SPDX-License-Identifier: Apache-2.0
 """What one process knows, in one place for those who decide by it."""
 
+from collections.abc import Callable
 from collections.abc import Collection
 import datetime
 import random
@@ -14,6 +15,7 @@
 from lugcross.edge import backends as backends_lib
 from lugcross.edge import choice
 from lugcross.edge import figures as figures_lib
+from lugcross.edge import lifecycle
 from lugcross.edge import loads as loads_lib
 from lugcross.edge import pace as pace_lib
 from lugcross.edge import pool as pool_lib
@@ -21,6 +23,9 @@
 from lugcross import ids
 from lugcross import routing
 
+#: Part of the repeat budget that refused requests may use.
+_REFUSED_PART = 0.5
+
 
 @final
 class World:
@@ -40,6 +45,8 @@
         self._budgets: dict[ids.ServiceName, routing.RepeatBudget] = {}
         self._returns: dict[str, admission.Returns] = {}
         self._paces: dict[ids.ServiceName, pace_lib.Pace] = {}
+        #: How many peers may exist, set by whoever listens to them.
+        self.known_peers: Callable[[], int] = int
         self.desired: desired.Desired | None = None
         self.desired_record = b""
         self.backends = backends_lib.Backends(
@@ -141,11 +148,28 @@
         if found is None:
             bounds = self._settings.bounds
             found = routing.RepeatBudget(
-                ratio=bounds.repeat_ratio, window_s=bounds.repeat_window_s
+                ratio=bounds.repeat_ratio,
+                window_s=bounds.repeat_window_s,
+                slack=bounds.repeat_slack,
             )
             self._budgets[service] = found
         return found
 
+    def may_repeat(
+        self, service: ids.ServiceName, event: lifecycle.Event
+    ) -> bool:
+        """Take one repeat of ``service`` from the budget, if it has one.
+
+        A refusal often comes from all servers at once, and its caller can
+        come back; a broken answer is lost, so that more is kept for it.
+        """
+        refused = event is lifecycle.Event.NOT_RUN
+        return self.budget(service).spend(
+            self._clock.monotonic(),
+            part=_REFUSED_PART if refused else 1.0,
+            peers=self.known_peers(),
+        )
+
     def sweep(self) -> None:
         """Forget what belongs to backend servers that are gone."""
         known = {one.key for one in self.backends.all()}
--- a/src/lugcross/routing/window.py
+++ b/src/lugcross/routing/window.py
@@ -1,9 +1,9 @@
 # SPDX-License-Identifier: Apache-2.0
 """Repeat budget over a sliding window, kept without asking anyone.
 
-Every process spends only what its own requests have earned. The sum over
-all processes then stays within the same part of all requests, however
-many of them there are and whichever can be reached.
+Every process spends what its own requests have earned, and its part of
+what is allowed beyond. The sum over all processes then stays within the
+bound, whichever of them can be reached.
 """
 
 import collections
@@ -15,6 +15,9 @@
 #: Part of the allowed ratio that is spent. The rest covers what is in
 #: flight at a window's edges, where requests and repeats fall apart.
 _SPENT_PART = 0.8
+#: Part of the slack that is spent; processes that start or that nobody
+#: has heard of yet share in it too.
+_SLACK_PART = 0.5
 #: Repeats that a process may send in a window before it has earned any:
 #: a lost connection of its first requests must not fail them.
 _FREE = 1
@@ -26,9 +29,13 @@
 
     :param ratio: repeats allowed for each request.
     :param window_s: length of the window, in seconds.
+    :param slack: repeats allowed beyond, to all processes together.
     """
 
-    def __init__(self, *, ratio: float, window_s: float) -> None:
+    def __init__(
+        self, *, ratio: float, window_s: float, slack: float = 0.0
+    ) -> None:
+        self._slack = slack * _SLACK_PART
         self._ratio = ratio * _SPENT_PART
         self._window = datetime.timedelta(seconds=window_s)
         self._asked: collections.deque[clock_lib.Instant] = collections.deque()
@@ -38,13 +45,23 @@
         """Note one request of a caller."""
         self._asked.append(now)
 
-    def spend(self, now: clock_lib.Instant) -> bool:
-        """Take one repeat; tell whether there was one."""
+    def spend(
+        self, now: clock_lib.Instant, *, part: float = 1.0, peers: int = 0
+    ) -> bool:
+        """Take one repeat; tell whether there was one.
+
+        :param part: part of the budget that repeats of this sort may
+            use, so that others find some left.
+        :param peers: other processes that may exist, heard or not; with
+            none known the slack stays untouched, since there may be some.
+        """
         for moments in (self._asked, self._spent):
             while moments and now - moments[0] > self._window:
                 moments.popleft()
         earned = _FREE + self._ratio * len(self._asked)
-        if len(self._spent) + 1 > earned:
+        if peers:
+            earned += self._slack / (peers + 1)
+        if len(self._spent) + 1 > max(1.0, earned * part):
             return False
         self._spent.append(now)
         return True
--- a/testing/routing/test_window.py
+++ b/testing/routing/test_window.py
@@ -41,3 +41,30 @@
     assert budget.spend(datetime.timedelta())
     assert not budget.spend(datetime.timedelta(seconds=5))
     assert budget.spend(datetime.timedelta(seconds=11))
+
+
+def test_slack_is_shared_among_all_processes_that_may_exist():
+    budgets = [
+        routing.RepeatBudget(ratio=RATIO, window_s=WINDOW, slack=80)
+        for _ in range(8)
+    ]
+    now = datetime.timedelta()
+    spent = sum(
+        budget.spend(now, peers=7) for budget in budgets for _ in range(100)
+    )
+    assert 8 < spent <= 80
+
+
+def test_process_that_knows_no_peers_leaves_the_slack_alone():
+    budget = routing.RepeatBudget(ratio=RATIO, window_s=WINDOW, slack=80)
+    now = datetime.timedelta()
+    assert sum(budget.spend(now) for _ in range(100)) == 1
+
+
+def test_refused_requests_leave_repeats_for_broken_answers():
+    budget = routing.RepeatBudget(ratio=RATIO, window_s=WINDOW, slack=80)
+    now = datetime.timedelta()
+    refused = sum(budget.spend(now, part=0.5, peers=3) for _ in range(99))
+    broken = sum(budget.spend(now, peers=3) for _ in range(99))
+    assert refused >= 1
+    assert broken >= refused
