Tell refused callers to come back spread, or as late as they can

Cause: all refused callers came back after 0.7 s. Change: callers of a full service come back between 0.7 s and a fifth of their time left, at random; where the servers themselves refuse, after three tenths of it.

--- a/src/lugcross/edge/refusal.py
+++ b/src/lugcross/edge/refusal.py
@@ -4,15 +4,22 @@
 import datetime
 import http
 import json
+import random
 from typing import final
 
 from lugcross import errors
 from lugcross import platform
 
-#: When a caller whose request has not run should come back. Long enough
-#: for a server's pass to end and a place to come free, short against the
-#: time that callers wait.
+#: When a caller should come back at the earliest: time for a few passes of
+#: an engine, in which places come free.
 RETRY_AFTER = datetime.timedelta(milliseconds=700)
+#: Parts of the time left within which callers of a full service are told
+#: to come back, spread so that they do not all come at once.
+_FULL_PART = 0.2
+#: Part of the time left after which callers of a service whose servers
+#: all refuse should come back: as late as leaves time for an answer, since
+#: what broke them takes seconds to mend.
+_BROKEN_PART = 0.3
 
 
 @final
@@ -50,24 +57,36 @@
 
 
 def not_ready(what: str) -> RefusedError:
-    """Return a refusal of a process that cannot serve yet."""
-    return RefusedError(
-        http.HTTPStatus.SERVICE_UNAVAILABLE,
-        what,
-        remedy="come back after the time in Retry-After",
-        retry_after=RETRY_AFTER,
-    )
+    """Return a refusal of a process that cannot serve now."""
+    return _not_run(what, RETRY_AFTER)
 
 
 def overloaded(
-    what: str, retry_after: datetime.timedelta = RETRY_AFTER
+    what: str, left: datetime.timedelta, rng: random.Random
 ) -> RefusedError:
-    """Return a refusal of a request that has not run."""
+    """Return a refusal of a request that no server has a place for.
+
+    :param left: time that its caller will still wait.
+    """
+    most = max(RETRY_AFTER, left * _FULL_PART)
+    wait = RETRY_AFTER + (most - RETRY_AFTER) * rng.random()
+    return _not_run(what, wait)
+
+
+def out_of_order(what: str, left: datetime.timedelta) -> RefusedError:
+    """Return a refusal of a request that the servers refused themselves.
+
+    :param left: time that its caller will still wait.
+    """
+    return _not_run(what, max(RETRY_AFTER, left * _BROKEN_PART))
+
+
+def _not_run(what: str, wait: datetime.timedelta) -> RefusedError:
     return RefusedError(
         http.HTTPStatus.SERVICE_UNAVAILABLE,
         what,
         remedy="come back after the time in Retry-After",
-        retry_after=retry_after,
+        retry_after=wait,
     )
 
 
--- a/src/lugcross/edge/runner.py
+++ b/src/lugcross/edge/runner.py
@@ -57,7 +57,12 @@
         try:
             plan = self._plan(req, head)
             await _Run(
-                self._world, self._clock, exchange, plan, self._changed
+                self._world,
+                self._clock,
+                exchange,
+                plan,
+                self._changed,
+                self._rng,
             ).run()
         except refusal.RefusedError as exc:
             self._log_refusal(head, plan, exc)
@@ -164,7 +169,9 @@
         exchange: http1.Exchange,
         plan: attempt_lib.Plan,
         changed: Callable[[], None],
+        rng: random.Random,
     ) -> None:
+        self._rng = rng
         self._world = world
         self._clock = clock
         self._plan = plan
@@ -179,13 +186,16 @@
         """Send until there is an answer or a reason to give up."""
         self._world.budget(self._plan.service).asked(self._clock.monotonic())
         backend = self._first()
-        left = self._plan.deadline - self._clock.monotonic()
+        left = self._left()
         try:
             async with asyncio.timeout(left.total_seconds()):
                 await self._send_all(backend)
         except TimeoutError:
             self._time_out()
 
+    def _left(self) -> datetime.timedelta:
+        return self._plan.deadline - self._clock.monotonic()
+
     def _first(self) -> desired.Backend:
         """Return the first backend server, or refuse at once."""
         found = self._choose()
@@ -200,7 +210,7 @@
             ),
         )
         if verdict is not None:
-            raise refusal.overloaded(verdict)
+            raise refusal.overloaded(verdict, self._left(), self._rng)
         return found.backend
 
     async def _send_all(self, first: desired.Backend) -> None:
@@ -260,8 +270,8 @@
         elif action is lifecycle.Action.CUT:
             raise refusal.broken("the answer broke off")
         elif action is lifecycle.Action.REFUSE:
-            raise refusal.overloaded(
-                f"no backend server ran it ({event.value})"
+            raise refusal.out_of_order(
+                f"no backend server ran it ({event.value})", self._left()
             )
         else:
             raise refusal.unknown("a backend server broke off")
--- a/testing/edge/test_answers.py
+++ b/testing/edge/test_answers.py
@@ -78,7 +78,8 @@
     scripts = [[rig.answer(503, b"", NOT_RUN)]]
     got = play(rig.UNSAFE, scripts, lambda r: r.ask())
     assert got.status == 503
-    assert float(got.headers[b"retry-after"]) > 0
+    # As late as a caller that waits 5 s can come back and be answered.
+    assert 1.0 < float(got.headers[b"retry-after"]) < 5.0 / 3
 
 
 def test_refusal_without_proof_is_not_passed_on_as_not_run(play):
--- a/testing/edge/test_decisions.py
+++ b/testing/edge/test_decisions.py
@@ -13,6 +13,7 @@
 from lugcross.edge import choice
 from lugcross.edge import events
 from lugcross.edge import pace
+from lugcross.edge import refusal
 from lugcross import ids
 
 ENGINE = desired.Engine(
@@ -169,3 +170,18 @@
 )
 def test_event_is_later_by_its_number(event, than, later):
     assert events.is_later(event, than) is later
+
+
+def test_callers_of_a_full_service_come_back_spread_and_in_time():
+    rng = random.Random(1)
+    left = datetime.timedelta(seconds=8)
+    waits = {
+        refusal.overloaded("full", left, rng).retry_after for _ in range(50)
+    }
+    assert len(waits) > 10
+    assert all(refusal.RETRY_AFTER <= wait < left / 3 for wait in waits)
+
+
+def test_caller_with_little_time_is_not_told_less_than_the_least():
+    found = refusal.out_of_order("broken", datetime.timedelta(seconds=1))
+    assert found.retry_after == refusal.RETRY_AFTER
