Let reads of the list of backend servers wait for news

Change: a read waits 4 s for news while two peers are heard, half the drain bound otherwise; who is behind a peer for two looks asks it.

--- a/src/lugcross/edge/app.py
+++ b/src/lugcross/edge/app.py
@@ -28,18 +28,19 @@
 #: Longest wait for the store's answer. Its usual answer takes a few
 #: milliseconds; a slow store needs some hundred.
 _STORE_TIMEOUT = datetime.timedelta(seconds=1.5)
-#: How long a read of the desired state waits for a change while peers
-#: tell what is newest; each read is priced.
-_DESIRED_WAIT = datetime.timedelta(seconds=4)
-#: Part of the bound on changes that a read waits without peers: at times
-#: the store does not wake a read that came just before the change.
+#: How long a read waits for news at the store while peers tell what is
+#: newest; each read is priced.
+_WAIT = datetime.timedelta(seconds=4)
+#: Part of a bound on news that a read waits without peers: at times the
+#: store does not wake a read that came just before the change.
 _ALONE_PART = 0.5
 #: Live peers that are enough to hear of each change.
 _ENOUGH_PEERS = 2
 #: Shortest time between two reads of the desired state, for storms.
 _DESIRED_GAP = datetime.timedelta(milliseconds=100)
-#: Part of the drain bound between two reads of the backend servers.
-_BACKENDS_PART = 0.4
+#: Shortest time between two reads of the backend servers: many of them
+#: change at once when a service is released or a domain comes back.
+_BACKENDS_GAP = datetime.timedelta(milliseconds=400)
 #: Time between two rounds of tidying, in seconds.
 _SWEEP_S = 1.0
 #: Part of the grace after which whatever is left is cut.
@@ -145,10 +146,7 @@
         return ""
 
     def _loops(self) -> list[Coroutine[Any, Any, None]]:
-        heartbeat = datetime.timedelta(
-            milliseconds=self._settings.store.heartbeat_ms
-        )
-        drain_gap = self._settings.bounds.drain * _BACKENDS_PART
+        bounds = self._settings.bounds
         known = self.knowledge
         desired_follower = follow.Follower(
             self._store,
@@ -156,15 +154,15 @@
             known.take_desired,
             known.trouble,
             gap=_DESIRED_GAP,
-            wait=self._desired_wait,
+            wait=lambda: self._wait(bounds.change),
         )
         backends_follower = follow.Follower(
             self._store,
             platform.BACKENDS_TOPIC,
             known.take_backends,
             known.trouble,
-            gap=min(drain_gap, heartbeat),
-            wait=datetime.timedelta,
+            gap=_BACKENDS_GAP,
+            wait=lambda: self._wait(bounds.drain),
         )
         return [
             desired_follower.run(),
@@ -173,10 +171,14 @@
             self._sweep(),
         ]
 
-    def _desired_wait(self) -> datetime.timedelta:
+    def _wait(self, bound: datetime.timedelta) -> datetime.timedelta:
+        """Return how long a read may wait for news.
+
+        :param bound: time within which the news must be acted on.
+        """
         if len(self.knowledge.peers.live()) >= _ENOUGH_PEERS:
-            return _DESIRED_WAIT
-        return self._settings.bounds.change * _ALONE_PART
+            return _WAIT
+        return bound * _ALONE_PART
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
--- a/src/lugcross/edge/knowledge.py
+++ b/src/lugcross/edge/knowledge.py
@@ -20,9 +20,9 @@
 
 #: Time between two looks whether a peer knows more, in seconds.
 _LOOK_S = 0.25
-#: Age of the list of backend servers past which peers are asked; the
-#: list is read several times in it.
-_OLD = datetime.timedelta(seconds=1.5)
+#: Age of the list of backend servers past which a peer that knows more is
+#: asked at once; a read that waits for news ends sooner.
+_OLD = datetime.timedelta(seconds=5)
 #: How long a process that knows nothing yet leaves the seeds alone: the
 #: store usually answers at once.
 _SEEDS_AFTER_S = 0.5
@@ -187,23 +187,29 @@
         behind = False
         while True:
             await asyncio.sleep(_LOOK_S)
-            was_behind, behind = behind, False
             best = self._best_peer()
-            if best is None or best.beat is None:
-                continue
-            behind = best.beat.version > self._version()
-            lost = self.trouble.now or self._world.backends.age() > _OLD
-            missed = lost and best.beat.end > self._world.backends.end
-            if (behind and was_behind) or missed:
+            was_behind, behind = behind, best is not None
+            if best is not None and best.beat and (was_behind or self._lost()):
                 await self._ask(best.host, best.beat.state_port)
 
+    def _lost(self) -> bool:
+        """Tell whether there is no use in waiting for the store."""
+        return self.trouble.now or self._world.backends.age() > _OLD
+
     def _version(self) -> int:
         state = self._world.desired
         return state.version if state else 0
 
     def _best_peer(self) -> peers_lib.Peer | None:
-        """Return the live peer that knows most."""
-        return max(self.peers.live(), key=_newness, default=None)
+        """Return the live peer that knows most, if one knows more."""
+        version, end = self._version(), self._world.backends.end
+        ahead = [
+            peer
+            for peer in self.peers.live()
+            if peer.beat
+            and (peer.beat.version > version or peer.beat.end > end)
+        ]
+        return max(ahead, key=_newness, default=None)
 
     async def _ask_seeds(self) -> None:
         for seed in self._settings.seeds:
--- a/src/lugcross/edge/settings.py
+++ b/src/lugcross/edge/settings.py
@@ -38,12 +38,10 @@
     """The platform's log.
 
     :param form: how it is spoken to; only ``log`` is known.
-    :param heartbeat_ms: how often each backend server writes there.
     """
 
     address: str
     form: str
-    heartbeat_ms: float
 
     def __post_init__(self) -> None:
         if self.form != "log":
--- a/testing/edge/test_knowledge.py
+++ b/testing/edge/test_knowledge.py
@@ -59,9 +59,7 @@
                 state=self.state,
                 peers=self.state,
             ),
-            store=settings_lib.Store(
-                address=store, form="log", heartbeat_ms=1000
-            ),
+            store=settings_lib.Store(address=store, form="log"),
             bounds=edge_rig.BOUNDS,
             seeds=seeds,
         )
--- a/testing/support/edge_rig.py
+++ b/testing/support/edge_rig.py
@@ -198,9 +198,7 @@
                 state=f"{HOST}:0",
                 peers=f"{HOST}:0",
             ),
-            store=settings_lib.Store(
-                address=f"{HOST}:1", form="log", heartbeat_ms=1000
-            ),
+            store=settings_lib.Store(address=f"{HOST}:1", form="log"),
             bounds=BOUNDS,
         )
         rng = new_rng()
