Read an early answer while a long request is still being sent

Change: bytes are queued in order and the answer is read at once; a connection whose request is not out when its answer is whole is closed. Also: the program as a process of its own, through a planned stop with a stream open and with bad settings; answers without a length, cut and reset ones.

--- a/src/lugcross/edge/attempt.py
+++ b/src/lugcross/edge/attempt.py
@@ -148,7 +148,7 @@
     async def _use(self, conn: http1.ClientConn) -> lifecycle.Event | None:
         whole = False
         try:
-            await self._send(conn)
+            self._send(conn)
             event = await self._receive(conn)
             whole = conn.reusable
         except (http1.BrokenError, _BadAnswerError) as exc:
@@ -162,7 +162,7 @@
                 conn.close()
         return event
 
-    async def _send(self, conn: http1.ClientConn) -> None:
+    def _send(self, conn: http1.ClientConn) -> None:
         plan = self._plan
         resumed = self._delivery.begun
         left = plan.deadline - self._clock.monotonic() - _ON_THE_WAY
@@ -174,7 +174,7 @@
             body_bytes=None if plan.req.body is None else len(plan.req.body),
             resume_after=self._delivery.last_id if resumed else "",
         )
-        await conn.send(
+        conn.send(
             plan.req.method, plan.req.target, headers, plan.req.body or b""
         )
 
--- a/src/lugcross/http1/client.py
+++ b/src/lugcross/http1/client.py
@@ -92,6 +92,10 @@
             return False
         if self._h11.their_state is not h11.DONE or self.closing:
             return False
+        if self._writer.transport.get_write_buffer_size():
+            # Answered before the request was read; what the server makes
+            # of the rest is not known.
+            return False
         return not self._h11.trailing_data[0] and not self.pending
 
     @property
@@ -105,17 +109,14 @@
         # The reader offers no look at what it holds but this.
         return bool(self._reader._buffer)  # type: ignore[attr-defined]
 
-    async def send(
+    def send(
         self,
         method: bytes,
         target: bytes,
         headers: list[tuple[bytes, bytes]],
         body: bytes,
     ) -> None:
-        """Send one request.
-
-        :raises BrokenError: when it may have been read in part.
-        """
+        """Begin to send one request; its bytes go out in order."""
         if self.used:
             self._h11.start_next_cycle()
         self.used += 1
@@ -124,11 +125,10 @@
         if body:
             data += self._h11.send(h11.Data(data=body)) or b""
         data += self._h11.send(h11.EndOfMessage()) or b""
-        try:
-            self._writer.write(data)
-            await self._writer.drain()
-        except OSError as exc:
-            raise _broken(str(exc)) from exc
+        # Not waited for: the server may answer before it has read a long
+        # body, and the answer must be read then. A connection that is lost
+        # shows when the answer is read.
+        self._writer.write(data)
 
     async def answer(self) -> Answer:
         """Return the head of the answer, past any provisional ones.
--- a/src/lugcross/platform/store.py
+++ b/src/lugcross/platform/store.py
@@ -164,9 +164,7 @@
                 if method == "POST":
                     length = str(len(body)).encode()
                     headers.append((b"Content-Length", length))
-                await conn.send(
-                    method.encode(), target.encode(), headers, body
-                )
+                conn.send(method.encode(), target.encode(), headers, body)
                 answer = await conn.answer()
                 parts = []
                 while (data := await conn.data()) is not None:
--- /dev/null
+++ b/testing/edge/test_process.py
@@ -0,0 +1,154 @@
+# SPDX-License-Identifier: Apache-2.0
+"""The program as a process of its own: start, planned stop, bad settings."""
+
+import asyncio
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+
+import edge_rig as rig
+
+from lugcross.standin import store as standin
+
+SETTINGS = """
+node: n1
+domain: d1
+listen:
+  callers: "127.0.0.1:{callers}"
+  ready: "127.0.0.1:{ready}"
+  state: "127.0.0.1:{state}"
+  peers: "127.0.0.1:{state}"
+  metrics: "127.0.0.1:{metrics}"
+store: {{address: "{store}", form: log}}
+bounds:
+  grace_s: 8
+  drain_ms: 2000
+  change_ms: 2000
+  repeat_ratio: 0.2
+  repeat_window_s: 10
+  repeat_slack: 0
+  contact_ms: 3000
+"""
+DESIRED = (
+    b'{"version":1,"routes":[{"name":"r","host":"h","path_prefix":"/r/",'
+    b'"kind":"streaming","timeout_ms":60000,"service":"app"}],'
+    b'"services":[{"name":"app"}],"limits":{"header_bytes":4096,'
+    b'"body_bytes":4096,"header_ms":60000,"idle_ms":60000}}'
+)
+
+
+async def _start(path: pathlib.Path, text: str) -> asyncio.subprocess.Process:
+    path.write_text(text, encoding="utf-8")
+    return await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "lugcross",
+        "edge",
+        env={**os.environ, "LUGCROSS_CONFIG": str(path)},
+        stdout=asyncio.subprocess.PIPE,
+    )
+
+
+async def _get(port: int, path: bytes) -> rig.Got:
+    try:
+        reader, writer = await asyncio.open_connection(rig.HOST, port)
+    except OSError:
+        return rig.Got(0, {}, b"", False)
+    writer.write(
+        b"GET " + path + b" HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+    )
+    got = await reader.read()
+    writer.close()
+    return rig.take_apart(got)
+
+
+async def _until_status(port: int, status: int) -> None:
+    while (await _get(port, b"/readiness")).status != status:
+        await asyncio.sleep(0.01)
+
+
+def test_planned_stop_ends_an_open_stream_whole(tmp_path):
+    async def main():
+        go_on = asyncio.Event()
+
+        async def slow(seen, writer):
+            await rig.events(b"id: 1\ndata: a\n\n", end=False)(
+                seen, _Kept(writer)
+            )
+            await go_on.wait()
+            part = b"id: 2\ndata: b\n\n"
+            writer.write(b"%x\r\n%s\r\n0\r\n\r\n" % (len(part), part))
+
+        backend = rig.FakeBackend([slow])
+        await backend.start()
+        store = standin.StoreStandin()
+        address = await store.start(rig.HOST)
+        store.append("keyed.op", "config", DESIRED)
+        entry = '{"service":"app","address":"%s:%d","zone":"d1","slots":2}' % (
+            rig.HOST,
+            backend.port,
+        )
+        store.append("keyed.servers", "i-1", entry.encode())
+        ports = {
+            name: rig.free_port()
+            for name in ("callers", "ready", "state", "metrics")
+        }
+        text = SETTINGS.format(store=address, **ports)
+        proc = await _start(tmp_path / "edge.yaml", text)
+        await _until_status(ports["ready"], 200)
+
+        reader, writer = await asyncio.open_connection(
+            rig.HOST, ports["callers"]
+        )
+        writer.write(rig.request())
+        first = await reader.readuntil(b"data: a\n\n")
+        proc.send_signal(signal.SIGTERM)
+        await _until_status(ports["ready"], 503)
+        go_on.set()
+        got = rig.take_apart(first + await reader.read())
+        logs, _ = await proc.communicate()
+        backend.close()
+        store.close()
+        return got, proc.returncode, logs.decode()
+
+    got, code, logs = asyncio.run(main())
+    assert got.whole
+    assert got.body.endswith(b"data: b\n\n")
+    assert code == 0
+    for message in ("started", "desired state", "stop asked", "drained"):
+        assert f'"message": "{message}"' in logs
+
+
+class _Kept:
+    """A writer that an ended script does not close."""
+
+    def __init__(self, writer: asyncio.StreamWriter) -> None:
+        self.write = writer.write
+        self.drain = writer.drain
+
+    def close(self) -> None:
+        """Leave the connection open."""
+
+
+def test_bad_settings_name_file_field_and_remedy(tmp_path):
+    path = tmp_path / "edge.yaml"
+    good = SETTINGS.format(
+        store="127.0.0.1:1", callers=1, ready=2, state=3, metrics=4
+    )
+    for old, new, named in (
+        ("form: log", "form: table", "form"),
+        ("grace_s: 8", "grace_s: soon", "grace_s"),
+        ("node: n1", "node: n1\nsurplus: 1", "surplus"),
+    ):
+        path.write_text(good.replace(old, new), encoding="utf-8")
+        done = subprocess.run(
+            [sys.executable, "-m", "lugcross", "edge", str(path)],
+            capture_output=True,
+            text=True,
+            check=False,
+        )
+        assert done.returncode == 1
+        assert str(path) in done.stderr
+        assert named in done.stderr
--- /dev/null
+++ b/testing/http1/test_client.py
@@ -0,0 +1,129 @@
+# SPDX-License-Identifier: Apache-2.0
+"""A connection to a backend server that does what it should not."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+
+import pytest
+
+from lugcross import http1
+
+Serve = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+HEADERS = [(b"Host", b"h")]
+
+
+def _play(serve: Serve, act: Callable[[http1.ClientConn], Awaitable[object]]):
+    async def main() -> object:
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        conn = await http1.connect("127.0.0.1", port, timeout_s=30)
+        try:
+            async with asyncio.timeout(30):
+                return await act(conn)
+        finally:
+            conn.close()
+            server.close()
+
+    return asyncio.run(main())
+
+
+def _says(data: bytes, *, close: bool = False) -> Serve:
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(data)
+        if close:
+            writer.close()
+
+    return serve
+
+
+async def _get(conn: http1.ClientConn) -> tuple[int, bytes]:
+    conn.send(b"GET", b"/", HEADERS, b"")
+    answer = await conn.answer()
+    body = b""
+    while (data := await conn.data()) is not None:
+        body += data
+    return answer.status, body
+
+
+def test_early_answer_to_a_long_body_is_heard_and_ends_the_connection():
+    size = 16 * 1_048_576
+
+    async def act(conn):
+        headers = [*HEADERS, (b"Content-Length", b"%d" % size)]
+        conn.send(b"POST", b"/", headers, b"x" * size)
+        answer = await conn.answer()
+        while await conn.data() is not None:
+            pass
+        return answer.status, conn.reusable
+
+    early = _says(b"HTTP/1.1 413 X\r\nContent-Length: 0\r\n\r\n")
+    assert _play(early, act) == (413, False)
+
+
+def test_answer_without_length_ends_with_its_connection():
+    plain = _says(b"HTTP/1.1 200 OK\r\n\r\nwhole", close=True)
+
+    async def act(conn):
+        return await _get(conn), conn.reusable
+
+    assert _play(plain, act) == ((200, b"whole"), False)
+
+
+def test_answer_without_length_that_is_reset_is_not_whole():
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\n\r\npart")
+        await writer.drain()
+        # Closing with unread bytes resets the connection.
+        await reader.readexactly(1)
+        writer.transport.abort()
+
+    async def act(conn):
+        conn.send(b"GET", b"/", HEADERS, b"")
+        await conn.answer()
+        part = await conn.data()
+        conn._writer.write(b"xy" * 100_000)
+        with pytest.raises(http1.BrokenError):
+            while await conn.data() is not None:
+                pass
+        return part
+
+    assert _play(serve, act) == b"part"
+
+
+def test_provisional_answers_are_passed_over():
+    data = (
+        b"HTTP/1.1 103 Early\r\nX: 1\r\n\r\n"
+        b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+    )
+    assert _play(_says(data), _get) == (200, b"ok")
+
+
+@pytest.mark.parametrize(
+    "data",
+    [b"", b"HTTP/1.1 200", b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nab"],
+    ids=["nothing", "half-a-head", "half-a-body"],
+)
+def test_connection_that_ends_early_is_broken(data):
+    async def act(conn):
+        with pytest.raises(http1.BrokenError):
+            await _get(conn)
+        return conn.reusable
+
+    assert _play(_says(data, close=True), act) is False
+
+
+def test_nobody_there_proves_that_nothing_was_sent():
+    async def main():
+        server = await asyncio.start_server(_says(b""), "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        server.close()
+        await server.wait_closed()
+        with pytest.raises(http1.NoConnectionError):
+            await http1.connect("127.0.0.1", port, timeout_s=30)
+
+    asyncio.run(main())
