--- a/src/lugcross/edge/loads.py
+++ b/src/lugcross/edge/loads.py
@@ -108,14 +108,6 @@
             total = max(total, told.load.running + told.load.waiting)
         return total
 
-    def waiting(self, key: desired.BackendKey) -> bool:
-        """Tell whether requests were waiting there a moment ago."""
-        told = self._told.get(key)
-        if told is None:
-            return False
-        fresh = self._clock.monotonic() - told.at < _TOLD_STALE
-        return fresh and told.load.waiting > 0
-
     def health(self, key: desired.BackendKey) -> routing.Health:
         """Return what was seen of ``key`` from here."""
         return self._health.setdefault(key, routing.Health())
--- a/src/lugcross/edge/pool.py
+++ b/src/lugcross/edge/pool.py
@@ -36,7 +36,6 @@
     def __init__(self, clock: clock_lib.Clock) -> None:
         self._clock = clock
         self._idle: dict[desired.BackendKey, list[_Idle]] = {}
-        self.opened = 0
 
     async def take(self, backend: desired.Backend) -> http1.ClientConn:
         """Return a connection to ``backend``.
@@ -51,7 +50,6 @@
             if usable and now < one.until:
                 return one.conn
             one.conn.close()
-        self.opened += 1
         return await http1.connect(
             backend.host, backend.port, timeout_s=_CONNECT_S
         )
--- a/src/lugcross/edge/settings.py
+++ b/src/lugcross/edge/settings.py
@@ -93,8 +93,6 @@
 
     :param node: name of the process's machine.
     :param seeds: where ``state`` of a few peers is; they may be gone.
-    :param memory_mb: memory after which the process is killed, MB.
-    :param descriptors: open files and sockets that it may have.
     """
 
     node: str
@@ -103,8 +101,6 @@
     store: Store
     bounds: Bounds
     seeds: tuple[str, ...] = ()
-    memory_mb: int = 256
-    descriptors: int = 1024
     level: str = "info"
 
 
--- a/src/lugcross/edge/world.py
+++ b/src/lugcross/edge/world.py
@@ -46,7 +46,7 @@
         self._returns: dict[str, admission.Returns] = {}
         self._paces: dict[ids.ServiceName, pace_lib.Pace] = {}
         #: How many peers may exist, set by whoever listens to them.
-        self.known_peers: Callable[[], int] = int
+        self.known_peers: Callable[[], int] = lambda: 0
         self.desired: desired.Desired | None = None
         self.desired_record = b""
         self.backends = backends_lib.Backends(
--- a/src/lugcross/platform/answers.py
+++ b/src/lugcross/platform/answers.py
@@ -99,7 +99,6 @@
     time_left: datetime.timedelta,
     body_bytes: int | None,
     resume_after: str = "",
-    priority: int | None = None,
 ) -> list[tuple[bytes, bytes]]:
     """Return the headers of a request on its way to ``backend``.
 
@@ -118,8 +117,6 @@
         sent.append((names.WORKSPACE, workspace.encode()))
     if resume_after:
         sent.append((names.LAST_EVENT_ID, resume_after.encode()))
-    if priority is not None:
-        sent.append((names.PRIORITY, str(priority).encode()))
     if body_bytes is not None:
         sent.append((b"Content-Length", str(body_bytes).encode()))
     return sent
--- a/src/lugcross/platform/store.py
+++ b/src/lugcross/platform/store.py
@@ -73,7 +73,6 @@
         self._port = int(port)
         self._timeout = timeout
         self._idle: list[http1.ClientConn] = []
-        self.calls = 0
 
     async def newest(self, topic: str) -> Tail:
         """Return the newest record of each key of ``topic``.
@@ -154,7 +153,6 @@
         body: bytes = b"",
         wait: datetime.timedelta = datetime.timedelta(),
     ) -> tuple[int, bytes]:
-        self.calls += 1
         limit = (self._timeout + wait).total_seconds()
         conn = await self._connection()
         try:
