Keep nobody out while half of a service's slots are free

Cause: where the pauses allow half of the slots, requests that come back were admitted up to 0.8 of that, four tenths of the slots, and refused while more than half were idle (found by reading; no play has shown it). Change: they get at least half of the slots. The test fails with that least part set to 0.

--- a/src/lugcross/edge/admission.py
+++ b/src/lugcross/edge/admission.py
@@ -11,6 +11,9 @@
 #: Part of what is full for others at which a service is full for those
 #: that were refused before; a few requests of each process below it.
 BACK_PART = 0.8
+#: Part of the slots up to which nobody is kept out: what is idle past that
+#: would serve no one better.
+_LEAST_PART = 0.5
 
 
 @final
@@ -19,6 +22,7 @@
     """A service's load as it looks from one process.
 
     :param servers: backend servers that may be used.
+    :param slots: slots of all of them.
     :param busy: requests that all of them probably have.
     :param least: requests of the least busy one.
     :param fresh: requests sent from here that peers were not told of.
@@ -26,6 +30,7 @@
     """
 
     servers: int
+    slots: int
     busy: int
     least: int
     fresh: int
@@ -49,8 +54,10 @@
     :param back: whether it was refused before.
     """
     unseen = picture.fresh * picture.peers
-    part = BACK_PART if back else 1.0
-    room = full * part * picture.servers - picture.busy - unseen
+    places = full * picture.servers
+    if back:
+        places = max(places * BACK_PART, picture.slots * _LEAST_PART)
+    room = places - picture.busy - unseen
     if room < 1.0 or picture.least >= max(full, 1.0):
         return "every backend server is full"
     return None
--- a/src/lugcross/edge/world.py
+++ b/src/lugcross/edge/world.py
@@ -81,9 +81,11 @@
 
     def picture(self, service: ids.ServiceName) -> admission.Picture:
         """Return the load of ``service`` as it looks from here."""
-        busy = [self.loads.busy(one.key) for one in self.backends.of(service)]
+        servers = self.backends.of(service)
+        busy = [self.loads.busy(one.key) for one in servers]
         return admission.Picture(
-            servers=len(busy),
+            servers=len(servers),
+            slots=sum(one.slots for one in servers),
             busy=sum(busy),
             least=min(busy, default=0),
             fresh=self.loads.fresh(service),
--- a/testing/edge/test_decisions.py
+++ b/testing/edge/test_decisions.py
@@ -67,7 +67,14 @@
 
 
 def _picture(**fields: int) -> admission.Picture:
-    usual = {"servers": 4, "busy": 0, "least": 0, "fresh": 0, "peers": 0}
+    usual = {
+        "servers": 4,
+        "slots": 24,
+        "busy": 0,
+        "least": 0,
+        "fresh": 0,
+        "peers": 0,
+    }
     return admission.Picture(**(usual | fields))
 
 
@@ -82,6 +89,11 @@
     assert admission.admit(picture, 4.0, back=True)
 
 
+def test_nobody_is_kept_out_while_half_of_the_slots_are_free():
+    assert admission.admit(_picture(busy=11), 3.0, back=True) is None
+    assert admission.admit(_picture(busy=12), 3.0, back=True)
+
+
 def test_what_peers_may_have_sent_meanwhile_counts():
     picture = _picture(busy=8, fresh=2, peers=7)
     assert admission.admit(picture, 4.0, back=False)
