--- a/bench/procs.py
+++ b/bench/procs.py
@@ -40,6 +40,8 @@
 TOKEN = "operator-of-this-bench"
 VIEWER_TOKEN = "viewer-of-this-bench"
 
+#: Longest wait for a process to listen, in seconds. A start takes one or
+#: two; beside heavy load it was once seen to take over 20.
 _START_S = 60.0
 _POLL_S = 0.02
 _PAGE = os.sysconf("SC_PAGE_SIZE")
