Read bodies and headers in one place, and drop what is dead

Cause, found by reading the change again: the loop over a body stood three times (attempt, its drain, store client), the look-up of a header's text twice; two fields of Knowledge, Answer.reason and a wrapper of ids.new_token served nothing. Change: ClientConn.body and names.text_of; the rest is gone. Behaviour as before, no test changed. Ran: lint, types and the 143 tests of edge, http1, platform, routing and logs, all passed; the whole suite was not run again.

--- a/src/lugcross/edge/attempt.py
+++ b/src/lugcross/edge/attempt.py
@@ -184,7 +184,7 @@
         if head.load is not None:
             self._world.loads.told(self._backend.key, head.load)
         if head.not_run:
-            await _drain(conn)
+            await conn.body()
             return self._not_run(head)
         self._check(head)
         types = [v for n, v in answer.headers if n == b"content-type"]
@@ -210,7 +210,7 @@
                     "other": head.attempt_id,
                 },
             )
-            await _drain(conn)
+            await conn.body()
             conn.skip_answer(self._plan.req.method)
 
     def _not_run(self, head: platform.AnswerHead) -> lifecycle.Event:
@@ -236,7 +236,7 @@
         answer: http1.Answer,
         head: platform.AnswerHead,
     ) -> lifecycle.Event | None:
-        body = await _read_all(conn)
+        body = await conn.body()
         failed = head.status >= http.HTTPStatus.INTERNAL_SERVER_ERROR
         if failed or head.status in platform.PROMISES:
             self._failed(f"status {head.status}")
@@ -292,15 +292,3 @@
                 "ejected": ejected,
             },
         )
-
-
-async def _read_all(conn: http1.ClientConn) -> bytes:
-    parts = []
-    while (data := await conn.data()) is not None:
-        parts.append(data)
-    return b"".join(parts)
-
-
-async def _drain(conn: http1.ClientConn) -> None:
-    while await conn.data() is not None:
-        pass
--- a/src/lugcross/edge/knowledge.py
+++ b/src/lugcross/edge/knowledge.py
@@ -45,10 +45,8 @@
         self._settings = settings
         self._world = world
         self._store = store
-        self._clock = clock
-        self._incarnation = peers_lib.new_incarnation()
+        self._incarnation = ids.new_token()
         self._leaving = False
-        self._asking = False
         self.trouble = follow.Trouble(clock)
         self.peers = peers_lib.Peers(
             self._tell,
--- a/src/lugcross/edge/peers.py
+++ b/src/lugcross/edge/peers.py
@@ -22,7 +22,6 @@
 from websockets import exceptions as ws_exceptions
 
 from lugcross import clock as clock_lib
-from lugcross import ids
 
 #: Shortest time between two datagrams to one peer; news in between wait
 #: for the next. A small part of a stream's life.
@@ -304,10 +303,5 @@
     return found
 
 
-def new_incarnation() -> str:
-    """Return a fresh name for this life of the process."""
-    return ids.new_token()
-
-
 def _as_bytes(frame: str | bytes) -> bytes:
     return frame.encode() if isinstance(frame, str) else frame
--- a/src/lugcross/http1/client.py
+++ b/src/lugcross/http1/client.py
@@ -45,7 +45,6 @@
     """
 
     status: int
-    reason: bytes
     raw: list[tuple[bytes, bytes]]
     headers: list[tuple[bytes, bytes]]
 
@@ -140,7 +139,6 @@
             if isinstance(event, h11.Response):
                 return Answer(
                     event.status_code,
-                    event.reason,
                     list(event.headers.raw_items()),
                     list(event.headers),
                 )
@@ -159,6 +157,16 @@
             return None
         raise _broken(f"{type(event).__name__} within a body")
 
+    async def body(self) -> bytes:
+        """Return all that is left of the body.
+
+        :raises BrokenError: when it is not whole.
+        """
+        parts = []
+        while (data := await self.data()) is not None:
+            parts.append(data)
+        return b"".join(parts)
+
     def skip_answer(self, method: bytes) -> None:
         """Wait for one more answer to the same request.
 
--- a/src/lugcross/platform/answers.py
+++ b/src/lugcross/platform/answers.py
@@ -136,13 +136,13 @@
     moved = status == http.HTTPStatus.MISDIRECTED_REQUEST
     return AnswerHead(
         status=status,
-        attempt_id=_text(found, names.ATTEMPT_ID),
-        sealed=bool(_text(found, names.SEAL)),
-        not_run=moved or bool(_text(found, names.NOT_RUN)),
+        attempt_id=names.text_of(found, names.ATTEMPT_ID),
+        sealed=bool(names.text_of(found, names.SEAL)),
+        not_run=moved or bool(names.text_of(found, names.NOT_RUN)),
         moved=moved,
         encoded=b"content-encoding" in found,
-        load=_load(_text(found, names.LOAD)),
-        keep=_keep(_text(found, b"Keep-Alive")),
+        load=_load(names.text_of(found, names.LOAD)),
+        keep=_keep(names.text_of(found, b"Keep-Alive")),
     )
 
 
@@ -154,10 +154,6 @@
     return frozenset(named)
 
 
-def _text(found: dict[bytes, bytes], name: bytes) -> str:
-    return found.get(name.lower(), b"").decode("latin-1").strip()
-
-
 def _load(text: str) -> Load | None:
     parts = text.split(",")
     if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
--- a/src/lugcross/platform/callers.py
+++ b/src/lugcross/platform/callers.py
@@ -42,29 +42,25 @@
     served as if its caller had not sent it.
     """
     found = {name: value for name, value in headers}
-    tokens = _text(found, names.TOKENS).partition(",")
+    tokens = names.text_of(found, names.TOKENS).partition(",")
     left_ms = _number(found, names.TIME_LEFT)
     return CallerHead(
-        attempt_id=_text(found, names.ATTEMPT_ID),
+        attempt_id=names.text_of(found, names.ATTEMPT_ID),
         time_left=(
             None
             if left_ms is None
             else datetime.timedelta(milliseconds=left_ms)
         ),
-        key=_text(found, names.KEY),
-        last_event_id=_text(found, names.LAST_EVENT_ID),
+        key=names.text_of(found, names.KEY),
+        last_event_id=names.text_of(found, names.LAST_EVENT_ID),
         prompt_tokens=_int(tokens[0], names.TOKENS) or 0,
         max_tokens=_int(tokens[2], names.TOKENS) or 0,
         expected_tokens=_number(found, names.LENGTH_HINT) or 0,
     )
 
 
-def _text(found: dict[bytes, bytes], name: bytes) -> str:
-    return found.get(name.lower(), b"").decode("latin-1").strip()
-
-
 def _number(found: dict[bytes, bytes], name: bytes) -> int | None:
-    return _int(_text(found, name), name)
+    return _int(names.text_of(found, name), name)
 
 
 def _int(text: str, name: bytes) -> int | None:
--- a/src/lugcross/platform/names.py
+++ b/src/lugcross/platform/names.py
@@ -5,6 +5,8 @@
 spelled here.
 """
 
+from collections.abc import Mapping
+
 #: Chosen by the caller for each of its attempts; comes back in answers.
 ATTEMPT_ID = b"Attempt-Identifier"
 #: Milliseconds that the caller, or the sender, will still wait.
@@ -33,3 +35,11 @@
 LOAD = b"Server-Load"
 #: Seconds, fractions allowed, after which a caller may come back.
 RETRY_AFTER = b"Retry-After"
+
+
+def text_of(found: Mapping[bytes, bytes], name: bytes) -> str:
+    """Return a header's text; empty if it is missing.
+
+    :param found: headers by their names in lower case.
+    """
+    return found.get(name.lower(), b"").decode("latin-1").strip()
--- a/src/lugcross/platform/store.py
+++ b/src/lugcross/platform/store.py
@@ -164,9 +164,7 @@
                     headers.append((b"Content-Length", length))
                 conn.send(method.encode(), target.encode(), headers, body)
                 answer = await conn.answer()
-                parts = []
-                while (data := await conn.data()) is not None:
-                    parts.append(data)
+                answered = await conn.body()
         except (http1.BrokenError, TimeoutError) as exc:
             conn.close()
             raise _unavailable(str(exc) or "no answer in time") from exc
@@ -177,7 +175,7 @@
             self._idle.append(conn)
         else:
             conn.close()
-        return answer.status, b"".join(parts)
+        return answer.status, answered
 
     async def _connection(self) -> http1.ClientConn:
         while self._idle:
