Tell each other of broken groups, and let refused callers wait for a place

Ruled out: holding first requests as well; served at their next attempt they are worth more. Change: whoever has the duty of maps looks at each group every 0.5 s, asks several ranks where one is silent, and tells its peers which servers are broken; these get nothing new. A group that forms anew is planned for by the demand seen before.

--- a/src/lugcross/edge/app.py
+++ b/src/lugcross/edge/app.py
@@ -15,6 +15,7 @@
 from lugcross import address
 from lugcross import clock as clock_lib
 from lugcross import desired
+from lugcross.edge import engines as engines_lib
 from lugcross.edge import figures as figures_lib
 from lugcross.edge import follow
 from lugcross.edge import knowledge as knowledge_lib
@@ -96,13 +97,19 @@
             clock=clock,
             rng=rng,
         )
+        caller = engines_lib.Caller(self.world.pool)
         self._maps = maps_lib.Maps(
             self.world,
+            platform.Engines(caller.exchange),
             clock=clock,
+            sleep=asyncio.sleep,
             mine=self.knowledge.has_duty,
             owner=experts.Owner(rng.getrandbits(_OWNER_BITS)),
+            changed=self.knowledge.peers.changed,
+            node=settings.node,
         )
         self.knowledge.unfit = self._maps.is_stuck
+        self.knowledge.seen_broken = self._maps.seen_broken
         self._conns: set[http1.ServerConn] = set()
         self._leaving_since: clock_lib.Instant | None = None
         self._stop = asyncio.Event()
--- a/src/lugcross/edge/groups.py
+++ b/src/lugcross/edge/groups.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 import dataclasses
 import datetime
+import math
 from typing import final
 
 from lugcross import clock as clock_lib
@@ -55,8 +56,42 @@
         known = self.whole and self.used is not None
         return self.is_open and known and settled and not self.busy
 
+    @property
+    def is_new(self) -> bool:
+        """Whether it still has the map that it began its life with."""
+        return self.version == 0
+
+    def sample(self, count: int) -> list[experts.Rank]:
+        """Return the first rank and others spread over the group.
+
+        Ranks of one failure domain mostly have numbers side by side.
+        """
+        ranks = sorted(self.members)
+        return ranks[:: max(1, math.ceil(len(ranks) / count))]
+
+    def look_due(
+        self, now: clock_lib.Instant, gap: datetime.timedelta
+    ) -> bool:
+        """Tell whether its state should be asked for.
+
+        Sooner than usual where something is about to change.
+        """
+        if self.looked_at is None or not self.is_open:
+            return True
+        if self.hold_seen is not None or self.awaited is not None:
+            return True
+        return now - self.looked_at >= gap
+
+    def lost(self, now: clock_lib.Instant) -> None:
+        """Note that no rank tells its state."""
+        self.is_open = False
+        self.looked_at = now
+
     def take(self, report: experts.Report, now: clock_lib.Instant) -> None:
-        """Take over what rank 0 tells."""
+        """Take over what a rank tells; only rank 0 is ever held."""
+        self.looked_at = now
+        if report.epoch < self.epoch:
+            return
         if report.epoch != self.epoch:
             self.epoch = report.epoch
             self.version = self.newest = experts.MapVersion(0)
@@ -71,8 +106,8 @@
             # Someone else has switched it; ranks are asked for the map.
             self.version = report.used
             self.used = None
-        self._note_hold(report.held, now)
-        self.looked_at = now
+        if report.rank == 0 and not self.busy:
+            self._note_hold(report.held, now)
 
     def _note_hold(
         self, held: experts.Step | None, now: clock_lib.Instant
@@ -117,6 +152,15 @@
         found = [g for k, g in self._groups.items() if k[0] == service]
         return sorted(found, key=lambda group: group.name)
 
+    def broken(self) -> list[desired.BackendKey]:
+        """Return the backend servers whose groups take no requests."""
+        return [
+            backend.key
+            for group in self._groups.values()
+            if group.looked_at is not None and not group.is_open
+            for backend in group.members.values()
+        ]
+
     def unplaced(
         self, backends: Iterable[desired.Backend]
     ) -> list[desired.Backend]:
--- a/src/lugcross/edge/knowledge.py
+++ b/src/lugcross/edge/knowledge.py
@@ -61,6 +61,8 @@
         self._since_ms = int(clock.now().timestamp() * 1000)
         #: Whether this process cannot look after expert maps for now.
         self.unfit: Callable[[], bool] = lambda: False
+        #: Backend servers that this process has seen in broken groups.
+        self.seen_broken: Callable[[], list[desired.BackendKey]] = list
         self.trouble = follow.Trouble(clock)
         self.peers = peers_lib.Peers(
             self._tell,
@@ -157,6 +159,7 @@
             },
             known=known,
             since_ms=0 if self.unfit() else self._since_ms,
+            broken=[str(key) for key in self.seen_broken()],
         )
 
     def _heard(self, peer: peers_lib.Peer) -> None:
@@ -168,6 +171,8 @@
             for key, count in beat.running.items()
         }
         self._world.loads.peer_told(beat.node, running)
+        broken = [desired.BackendKey(key) for key in beat.broken]
+        self._world.outages.told(beat.node, broken)
 
     def _answer(self, ask: peers_lib.Ask) -> peers_lib.State:
         state = self._world.desired
--- a/src/lugcross/edge/maps.py
+++ b/src/lugcross/edge/maps.py
@@ -12,7 +12,6 @@
 
 from lugcross import clock as clock_lib
 from lugcross import desired
-from lugcross.edge import engines as engines_lib
 from lugcross.edge import groups as groups_lib
 from lugcross.edge import switching
 from lugcross.edge import world as world_lib
@@ -22,23 +21,31 @@
 
 #: Time between two rounds, in seconds.
 _ROUND_S = 0.2
-#: Time between two looks at a group's first rank; its report costs as much
-#: as a health check, and what it tells changes only with faults.
-_LOOK = datetime.timedelta(seconds=1)
+#: Time between two looks at a group; a report costs as much as a health
+#: check, and what it tells changes only with faults.
+_LOOK = datetime.timedelta(milliseconds=500)
+#: Ranks that are asked for the state of a group where one is not enough:
+#: the first may be the one that is cut off.
+_ASKED = 3
+#: Time between two rounds of asking who is which rank of which group.
+_PLACE = datetime.timedelta(seconds=1)
 #: Time between two readings of counts. Demand jumps every few seconds;
 #: each reading is priced by its counts.
 _READ = datetime.timedelta(milliseconds=800)
+#: Age up to which a group that formed anew is planned for by old demand.
+_LATELY = datetime.timedelta(seconds=15)
 #: How long a pass held by someone else is left alone: a switch releases
 #: it within some tens of milliseconds, reports are some hundred old.
 _LEFT_AFTER = datetime.timedelta(milliseconds=400)
 #: How long a process that could not finish a switch leaves the duty to
 #: others; as long as most cuts of single hosts last.
 _UNFIT = datetime.timedelta(seconds=10)
-#: Part of a pass that a new map must save to be worth its orders.
-_LEAST_SAVING = 0.15
-#: Longest time that ranks may copy for one map: a part of the few seconds
-#: for which demand stays as it is.
-_COPY_TIME = datetime.timedelta(milliseconds=750)
+#: Part of a pass that a new map must save to be worth its orders, and
+#: longest time that ranks may copy for one map: demand stays as it is for a
+#: few seconds, so that the first few copies, early, are worth most. Chosen
+#: on recorded counts, see docs/design/0006-expert-maps.md.
+_LEAST_SAVING = 0.25
+_COPY_TIME = datetime.timedelta(milliseconds=450)
 
 #: Passes that may have begun since the report that told the last one, some
 #: hundred milliseconds old, and until all ranks are armed.
@@ -49,28 +56,41 @@
 class Maps:
     """Sees demand, plans and has groups switched.
 
+    :param engines: reaches the ranks.
+    :param sleep: waits for some seconds.
     :param mine: tells whether this process has the duty.
     :param owner: chooses versions and passes for this process.
+    :param changed: called when a group has broken or formed anew.
+    :param node: name of this process's host.
     """
 
     def __init__(
         self,
         world: world_lib.World,
+        engines: platform.Engines,
         *,
         clock: clock_lib.Clock,
+        sleep: switching.Sleep,
         mine: Callable[[], bool],
         owner: experts.Owner,
+        changed: Callable[[], None],
+        node: str,
     ) -> None:
+        self._changed = changed
+        self._node = node
         self._world = world
         self._clock = clock
         self._mine = mine
         self._owner = owner
-        self._engines = platform.Engines(
-            engines_lib.Caller(world.pool).exchange
-        )
+        self._engines = engines
+        self._sleep = sleep
         self._groups = groups_lib.Groups()
         self._read: dict[ids.ServiceName, _Reading] = {}
+        self._uses: dict[
+            ids.ServiceName, tuple[experts.Demand, clock_lib.Instant]
+        ] = {}
         self._tasks: set[asyncio.Task[None]] = set()
+        self._placed_at: clock_lib.Instant | None = None
         self._stuck_at: clock_lib.Instant | None = None
         self._had = False
 
@@ -83,13 +103,15 @@
             return False
         return self._clock.monotonic() - self._stuck_at < _UNFIT
 
+    def seen_broken(self) -> list[desired.BackendKey]:
+        """Return the servers whose groups this process saw broken."""
+        return self._groups.broken() if self._had else []
+
     async def run(self) -> None:
         """Look after the maps until cancelled."""
         while True:
-            await asyncio.sleep(_ROUND_S)
-            self._note_duty(self._mine())
-            if self._had:
-                await self._round()
+            await self._sleep(_ROUND_S)
+            await self.round()
 
     def _note_duty(self, mine: bool) -> None:
         if mine == self._had:
@@ -97,9 +119,22 @@
         self._had = mine
         self._groups.clear()
         self._read.clear()
+        self._uses.clear()
         logging.info("duty of expert maps", extra={"mine": mine})
 
-    async def _round(self) -> None:
+    async def idle(self) -> None:
+        """Return once no switch is under way."""
+        while self._tasks:
+            await asyncio.wait(self._tasks)
+
+    async def round(self) -> None:
+        """Look once at all that is due."""
+        self._note_duty(self._mine())
+        if self._had:
+            await self._look_at_all()
+        self._world.outages.told(self._node, self.seen_broken())
+
+    async def _look_at_all(self) -> None:
         state = self._world.desired
         for service in state.services.values() if state else ():
             limits = service.engine.experts if service.engine else None
@@ -113,17 +148,38 @@
             one for one in self._world.backends.all() if one.service == service
         ]
         self._groups.keep_only(backends)
-        await self._place(self._groups.unplaced(backends), limits)
         groups = self._groups.of(service)
-        await asyncio.gather(*map(self._look, groups))
-        uses = await self._demand(service, groups, limits)
+        uses, *_ = await asyncio.gather(
+            self._demand(service, groups, limits),
+            self._place(self._groups.unplaced(backends), limits),
+            *map(self._look, groups),
+        )
+        if uses is not None:
+            self._uses[service] = uses, self._clock.monotonic()
         for group in groups:
-            if uses is not None and group.ready:
-                self._consider(group, uses)
+            known = uses or (self._lately(service) if group.is_new else None)
+            if known is not None and group.ready:
+                self._consider(group, known)
+
+    def _lately(self, service: ids.ServiceName) -> experts.Demand | None:
+        """Return what was in demand a while ago, for a group just formed.
+
+        About half of it has changed every few seconds; the rest is more
+        than a new group's first map knows.
+        """
+        found = self._uses.get(service)
+        if found is None or self._clock.monotonic() - found[1] > _LATELY:
+            return None
+        return found[0]
 
     async def _place(
         self, backends: list[desired.Backend], limits: experts.Limits
     ) -> None:
+        now = self._clock.monotonic()
+        if self._placed_at is not None and now - self._placed_at < _PLACE:
+            return
+        if backends:
+            self._placed_at = now
         reports = await asyncio.gather(*map(self._report, backends))
         for backend, report in zip(backends, reports, strict=True):
             if report is not None:
@@ -141,21 +197,50 @@
 
     async def _look(self, group: groups_lib.Group) -> None:
         now = self._clock.monotonic()
-        held = group.hold_seen is not None
-        due = group.looked_at is None or now - group.looked_at >= _LOOK
-        if group.busy or not group.whole or not (due or held or group.awaited):
+        if not group.members or not group.look_due(now, _LOOK):
             return
-        report = await self._report(group.members[experts.Rank(0)])
-        if report is None or report.group != group.name:
-            group.is_open = False
-            group.looked_at = now
+        was_open = group.is_open
+        await self._ask_ranks(group)
+        if group.is_open != was_open:
+            self._note_state(group)
+        if group.busy or not group.is_open or not group.whole:
             return
-        group.take(report, self._clock.monotonic())
-        if group.used is None and group.is_open:
+        if group.used is None:
             group.used = await self._read_map(group)
         if group.hold_is_left(now, _LEFT_AFTER):
             self._start(group, self._finish(group))
 
+    async def _ask_ranks(self, group: groups_lib.Group) -> None:
+        """Take over what a few ranks tell; one of them may be cut off."""
+        ranks = group.sample(1 if group.is_open else _ASKED)
+        reports = await self._reports(group, ranks)
+        if not reports:
+            rest = group.sample(_ASKED)
+            reports = await self._reports(group, rest)
+        now = self._clock.monotonic()
+        if not reports:
+            group.lost(now)
+        for report in reports:
+            group.take(report, now)
+
+    async def _reports(
+        self, group: groups_lib.Group, ranks: list[experts.Rank]
+    ) -> list[experts.Report]:
+        found = await asyncio.gather(
+            *(self._report(group.members[rank]) for rank in ranks)
+        )
+        return [
+            one for one in found if one is not None and one.group == group.name
+        ]
+
+    def _note_state(self, group: groups_lib.Group) -> None:
+        logging.info(
+            "group opened" if group.is_open else "group broken",
+            extra={"group": group.name, "epoch": group.epoch},
+        )
+        self._world.outages.told(self._node, self.seen_broken())
+        self._changed()
+
     async def _read_map(
         self, group: groups_lib.Group
     ) -> experts.ExpertMap | None:
@@ -180,10 +265,10 @@
         limits: experts.Limits,
     ) -> experts.Demand | None:
         """Return what was in demand since the last reading, if it is due."""
-        source = next((one for one in groups if one.is_open), None)
+        source = next((g for g in groups if g.is_open and g.whole), None)
         now = self._clock.monotonic()
         last = self._read.get(service)
-        if source is None or not source.whole:
+        if source is None:
             return None
         if last is not None and now - last.at < _READ:
             return None
@@ -289,7 +374,9 @@
         switch: experts.Switch,
         plan: experts.Plan | None,
     ) -> None:
-        driver = switching.Driver(self._engines, group, self._clock)
+        driver = switching.Driver(
+            self._engines, group, self._clock, self._sleep
+        )
         try:
             finished = await driver.run(switch, plan.copies if plan else 0)
             if not finished:
--- a/src/lugcross/edge/peers.py
+++ b/src/lugcross/edge/peers.py
@@ -52,6 +52,7 @@
     :param known: addresses of peers that it knows, ``HOST:PORT``.
     :param since_ms: when it started, by its time of day, if it can look
         after expert maps; 0 if it cannot now.
+    :param broken: backend servers that it has seen in broken groups.
     """
 
     node: str
@@ -64,6 +65,7 @@
     running: dict[str, int]
     known: list[str]
     since_ms: int = 0
+    broken: list[str] = []
 
 
 @final
--- a/src/lugcross/edge/runner.py
+++ b/src/lugcross/edge/runner.py
@@ -23,6 +23,9 @@
 from lugcross import platform
 
 _MS = datetime.timedelta(milliseconds=1)
+#: Longest time between two looks of a waiting request for a place, seconds:
+#: a pass or two of an engine.
+_LOOK_S = 0.1
 
 
 @final
@@ -62,6 +65,7 @@
                 exchange,
                 plan,
                 self._changed,
+                self._closed,
                 self._rng,
             ).run()
         except refusal.RefusedError as exc:
@@ -169,9 +173,11 @@
         exchange: http1.Exchange,
         plan: attempt_lib.Plan,
         changed: Callable[[], None],
+        closed: Callable[[], bool],
         rng: random.Random,
     ) -> None:
         self._rng = rng
+        self._closed = closed
         self._world = world
         self._clock = clock
         self._plan = plan
@@ -185,33 +191,53 @@
     async def run(self) -> None:
         """Send until there is an answer or a reason to give up."""
         self._world.budget(self._plan.service).asked(self._clock.monotonic())
-        backend = self._first()
         left = self._left()
         try:
             async with asyncio.timeout(left.total_seconds()):
-                await self._send_all(backend)
+                await self._send_all(await self._first())
         except TimeoutError:
             self._time_out()
 
     def _left(self) -> datetime.timedelta:
         return self._plan.deadline - self._clock.monotonic()
 
-    def _first(self) -> desired.Backend:
-        """Return the first backend server, or refuse at once."""
-        found = self._choose()
-        if found is None:
-            raise refusal.not_ready("no backend server is known")
+    async def _first(self) -> desired.Backend:
+        """Return the first backend server; wait for a place, or refuse."""
+        route = self._plan.route
+        back = self._world.returns(route.name).is_back(
+            self._plan.head.time_left
+        )
+        left = self._left()
+        until = self._clock.monotonic() + admission.patience(
+            left, route.target, back=back
+        )
+        while True:
+            found = self._choose()
+            verdict = self._verdict(back=back)
+            if found is not None and verdict is None:
+                return found.backend
+            if self._closed() or self._clock.monotonic() >= until:
+                raise self._refusal(found, verdict)
+            await asyncio.sleep(_LOOK_S * self._rng.uniform(0.5, 1.0))
+
+    def _verdict(self, *, back: bool) -> str | None:
         service = self._plan.service
-        verdict = admission.admit(
+        return admission.admit(
             self._world.picture(service),
             self._world.full(self._plan.route, service),
-            back=self._world.returns(self._plan.route.name).is_back(
-                self._plan.head.time_left
-            ),
+            back=back,
         )
-        if verdict is not None:
-            raise refusal.overloaded(verdict, self._left(), self._rng)
-        return found.backend
+
+    def _refusal(
+        self, found: choice.Candidate | None, verdict: str | None
+    ) -> refusal.RefusedError:
+        if found is not None:
+            return refusal.overloaded(verdict or "", self._left(), self._rng)
+        if self._world.backends.of(self._plan.service):
+            return refusal.out_of_order(
+                "its groups of ranks are broken", self._left()
+            )
+        return refusal.not_ready("no backend server is known")
 
     async def _send_all(self, first: desired.Backend) -> None:
         backend = first
--- a/src/lugcross/edge/switching.py
+++ b/src/lugcross/edge/switching.py
@@ -2,6 +2,8 @@
 """Drives one switch of a group's map: sends its orders, reads reports."""
 
 import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
 import datetime
 from typing import final
 
@@ -24,6 +26,9 @@
 #: the other.
 _COPY_ADD_S = 0.02
 
+#: Waits for some seconds.
+Sleep = Callable[[float], Awaitable[None]]
+
 
 @final
 class Driver:
@@ -34,7 +39,9 @@
         engines: platform.Engines,
         group: groups_lib.Group,
         clock: clock_lib.Clock,
+        sleep: Sleep,
     ) -> None:
+        self._sleep = sleep
         self._engines = engines
         self._group = group
         self._clock = clock
@@ -50,8 +57,12 @@
         while switch.phase is not experts.Phase.OVER:
             if self._clock.monotonic() - since > limit:
                 return False
+            if not self._group.is_open:
+                # Nothing moves until it forms anew; before anything is
+                # held, that is reason enough to leave it.
+                switch.leave()
             if switch.phase is experts.Phase.COPY:
-                await asyncio.sleep(copying * _COPY_MORE + _COPY_ADD_S)
+                await self._sleep(copying * _COPY_MORE + _COPY_ADD_S)
                 await self._name_step(switch)
             elif switch.hold_refused:
                 await self._name_step(switch)
@@ -65,7 +76,7 @@
             report = await self._engines.report(self._first)
         except platform.EngineError as exc:
             logging.info("no step", extra={"why": str(exc)})
-            await asyncio.sleep(_AGAIN_S)
+            await self._sleep(_AGAIN_S)
             return
         if report is None or report.epoch != self._group.epoch:
             switch.epoch_over()
@@ -91,7 +102,7 @@
             return
         if experts.Verdict.REFUSED in verdicts:
             await self._check_epoch(switch)
-        await asyncio.sleep(_AGAIN_S)
+        await self._sleep(_AGAIN_S)
 
     async def _send(
         self, rank: experts.Rank, order: experts.Order
--- a/src/lugcross/edge/world.py
+++ b/src/lugcross/edge/world.py
@@ -17,6 +17,7 @@
 from lugcross.edge import figures as figures_lib
 from lugcross.edge import lifecycle
 from lugcross.edge import loads as loads_lib
+from lugcross.edge import outages as outages_lib
 from lugcross.edge import pace as pace_lib
 from lugcross.edge import pool as pool_lib
 from lugcross.edge import settings as settings_lib
@@ -53,6 +54,7 @@
             clock, drain=settings.bounds.drain
         )
         self.loads = loads_lib.Loads(clock)
+        self.outages = outages_lib.Outages(clock)
         self.pool = pool_lib.Pool(clock)
         self.figures = figures_lib.Figures()
 
@@ -79,9 +81,16 @@
         found = self.desired.services.get(service)
         return found.engine if found else None
 
+    def serving(self, service: ids.ServiceName) -> list[desired.Backend]:
+        """Return the servers of ``service`` that new requests may go to."""
+        broken = self.outages.broken()
+        return [
+            one for one in self.backends.of(service) if one.key not in broken
+        ]
+
     def picture(self, service: ids.ServiceName) -> admission.Picture:
         """Return the load of ``service`` as it looks from here."""
-        servers = self.backends.of(service)
+        servers = self.serving(service)
         busy = [self.loads.busy(one.key) for one in servers]
         return admission.Picture(
             servers=len(servers),
@@ -140,7 +149,7 @@
                 busy=self.loads.busy(one.key),
                 ejected=self.loads.ejected(one.key),
             )
-            for one in self.backends.of(service)
+            for one in self.serving(service)
         ]
         return choice.choose(
             candidates, home=self._home, tried=tried, rng=self._rng
--- a/src/lugcross/experts/__init__.py
+++ b/src/lugcross/experts/__init__.py
@@ -27,8 +27,8 @@
 from lugcross.experts.orders import Report
 from lugcross.experts.orders import Step
 from lugcross.experts.orders import Verdict
-from lugcross.experts.plan import plan
-from lugcross.experts.plan import Plan
+from lugcross.experts.planner import plan
+from lugcross.experts.planner import Plan
 from lugcross.experts.switch import Outcome
 from lugcross.experts.switch import Phase
 from lugcross.experts.switch import Switch
--- a/src/lugcross/experts/switch.py
+++ b/src/lugcross/experts/switch.py
@@ -228,7 +228,7 @@
 
     def leave(self) -> None:
         """Give up before anything is armed; a hold may stand or come."""
-        if self.phase is Phase.COPY:
+        if self.phase in (Phase.PREPARE, Phase.COPY):
             self._end(Outcome.LEFT)
         elif self.phase is Phase.HOLD:
             self._ended = Outcome.LEFT
--- a/testing/edge/test_decisions.py
+++ b/testing/edge/test_decisions.py
@@ -12,6 +12,7 @@
 from lugcross.edge import admission
 from lugcross.edge import choice
 from lugcross.edge import events
+from lugcross.edge import outages
 from lugcross.edge import pace
 from lugcross.edge import refusal
 from lugcross import ids
@@ -197,3 +198,38 @@
 def test_caller_with_little_time_is_not_told_less_than_the_least():
     found = refusal.out_of_order("broken", datetime.timedelta(seconds=1))
     assert found.retry_after == refusal.RETRY_AFTER
+
+
+AIM = datetime.timedelta(milliseconds=400)
+
+
+@pytest.mark.parametrize(
+    ("left_s", "back", "longest_s"),
+    [(8.0, False, 0.0), (5.0, True, 2.5), (1.0, True, 0.2), (0.5, True, 0.0)],
+    ids=["first", "back", "short", "too-late"],
+)
+def test_only_what_was_refused_before_waits_and_less_than_half_its_time(
+    left_s: float, back: bool, longest_s: float
+):
+    left = datetime.timedelta(seconds=left_s)
+    waits = admission.patience(left, AIM, back=back).total_seconds()
+    assert waits <= longest_s
+    assert (waits > 0) == (longest_s > 0)
+
+
+def test_servers_told_broken_are_believed_until_that_is_old(manual_clock):
+    told = outages.Outages(manual_clock)
+    key = desired.BackendKey("a")
+    told.told("n1", [key])
+    assert told.broken() == {key}
+    manual_clock.advance(datetime.timedelta(seconds=3))
+    assert not told.broken()
+
+
+def test_servers_are_broken_while_anyone_tells_so(manual_clock):
+    told = outages.Outages(manual_clock)
+    one, two = desired.BackendKey("a"), desired.BackendKey("b")
+    told.told("n1", [one])
+    told.told("n2", [two])
+    told.told("n1", [])
+    assert told.broken() == {two}
--- /dev/null
+++ b/testing/edge/test_maps.py
@@ -0,0 +1,288 @@
+# SPDX-License-Identifier: Apache-2.0
+"""Whoever has the duty sees demand, switches maps and tells of outages."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import dataclasses
+import datetime
+
+import edge_rig
+import model_ranks
+import pytest
+
+from lugcross import clock as clock_lib
+from lugcross import desired
+from lugcross.edge import maps as maps_lib
+from lugcross.edge import settings as settings_lib
+from lugcross.edge import world as world_lib
+from lugcross import experts
+from lugcross import ids
+from lugcross import platform
+
+SIZE = 4
+SERVICE = ids.ServiceName("llm")
+LIMITS = experts.Limits(
+    sets=1, experts=8, places=4, spare=2, copy_s=0.1, share=0.8
+)
+FIRST = experts.dealt_out(SIZE, LIMITS)
+#: Uses of each expert in one reading; the first has nearly all.
+HOT = (100_000, 1000, 1000, 1000, 1000, 1000, 1000, 1000)
+SECOND = datetime.timedelta(seconds=1)
+
+
+class Engines:
+    """Ranks that make one pass for each 50 ms that are waited."""
+
+    def __init__(self) -> None:
+        self.group = model_ranks.ModelGroup(SIZE, FIRST)
+        self.uses = [0] * LIMITS.experts
+        self.is_open = True
+        self.silent: set[int] = set()
+        self.deaf: set[int] = set()
+        self.orders: list[experts.Order] = []
+
+    def passed(self, seconds: float) -> None:
+        """Go on for a while, under load."""
+        for _ in range(max(1, int(seconds / 0.05))):
+            self.group.begin_pass()
+        for rank in self.group.ranks:
+            rank.copied = True
+        self.uses = [
+            old + new for old, new in zip(self.uses, HOT, strict=True)
+        ]
+
+    def _rank(self, backend: desired.Backend) -> int:
+        rank = int(backend.key)
+        if rank in self.silent:
+            raise platform.EngineError("silent", remedy="")
+        return rank
+
+    async def report(self, backend: desired.Backend) -> experts.Report:
+        rank = self._rank(backend)
+        report = self.group.report(rank)
+        return dataclasses.replace(report, is_open=self.is_open)
+
+    async def counts(
+        self, backend: desired.Backend, limits: experts.Limits
+    ) -> experts.Counts:
+        self._rank(backend)
+        assert limits is LIMITS
+        return experts.Counts(
+            experts.Epoch(self.group.epoch),
+            experts.Step(self.group.step),
+            (tuple(self.uses),),
+        )
+
+    async def held_experts(
+        self, backend: desired.Backend
+    ) -> experts.RankExperts:
+        rank = self._rank(backend)
+        return self.group.ranks[rank].used[1].ranks[rank]
+
+    async def order(
+        self,
+        backend: desired.Backend,
+        order: experts.Order,
+        epoch: experts.Epoch,
+    ) -> experts.Verdict:
+        self.orders.append(order)
+        rank = int(backend.key)
+        if rank in self.silent or rank in self.deaf:
+            return experts.Verdict.UNKNOWN
+        return self.group.obey(rank, order, epoch)
+
+
+class Rig:
+    """One process's maps over model ranks, with time moved by hand."""
+
+    def __init__(self) -> None:
+        self.clock = clock_lib.ManualClock()
+        self.engines = Engines()
+        settings = settings_lib.Settings(
+            node="n1",
+            domain="d1",
+            listen=settings_lib.Listen(
+                callers="h:0", ready="h:0", state="h:0", peers="h:0"
+            ),
+            store=settings_lib.Store(address="h:1", form="log"),
+            bounds=edge_rig.BOUNDS,
+        )
+        self.world = world_lib.World(
+            settings, clock=self.clock, rng=edge_rig.new_rng()
+        )
+        self.mine = True
+        self.news = 0
+        self.maps = maps_lib.Maps(
+            self.world,
+            self.engines,
+            clock=self.clock,
+            sleep=self._sleep,
+            mine=lambda: self.mine,
+            owner=experts.Owner(1),
+            changed=self._changed,
+            node="n1",
+        )
+        self._adopt()
+
+    def _changed(self) -> None:
+        self.news += 1
+
+    def _adopt(self) -> None:
+        engine = desired.Engine(slots=6, kv_tokens=1000, experts=LIMITS)
+        service = desired.Service(name=SERVICE, engine=engine)
+        state = desired.Desired(
+            version=1,
+            routes={},
+            services={SERVICE: service},
+            limits=edge_rig.LIMITS,
+            keys={},
+            keyed=False,
+        )
+        self.world.adopt(state, b"")
+        rows = tuple(
+            platform.KeyedRecord(
+                ids.Offset(rank),
+                str(rank),
+                b'{"service":"llm","address":"10.0.0.1:%d","slots":6}'
+                % (1000 + rank),
+            )
+            for rank in range(SIZE)
+        )
+        tail = platform.Tail(end=ids.Offset(SIZE), records=rows)
+        self.world.backends.apply(tail, store_was_away=False)
+
+    async def _sleep(self, seconds: float) -> None:
+        self.clock.advance(datetime.timedelta(seconds=seconds))
+        self.engines.passed(seconds)
+        await asyncio.sleep(0)
+
+    async def rounds(self, count: int) -> None:
+        """Let a second pass before each of some rounds."""
+        for _ in range(count):
+            self.clock.advance(SECOND)
+            self.engines.passed(1.0)
+            await self.maps.round()
+            await self.maps.idle()
+
+
+def run(act: Callable[[Rig], Awaitable[object]]) -> None:
+    async def main() -> None:
+        await act(Rig())
+
+    asyncio.run(main())
+
+
+def test_hot_expert_gets_replicas_and_all_ranks_change_together():
+    async def act(rig: Rig) -> None:
+        await rig.rounds(5)
+        used = [rank.used for rank in rig.engines.group.ranks]
+        assert used[0][0] > 0
+        assert used == [used[0]] * SIZE
+        assert all(0 in rank[0] for rank in used[0][1].ranks)
+
+    run(act)
+
+
+def test_process_without_the_duty_asks_and_orders_nothing():
+    async def act(rig: Rig) -> None:
+        rig.mine = False
+        await rig.rounds(5)
+        assert not rig.engines.orders
+        assert rig.engines.group.ranks[0].used == (0, FIRST)
+
+    run(act)
+
+
+def test_even_demand_is_left_alone():
+    async def act(rig: Rig) -> None:
+        rig.engines.passed = lambda seconds: None
+        rig.engines.uses = [0] * LIMITS.experts
+        for _ in range(4):
+            rig.engines.uses = [one + 5000 for one in rig.engines.uses]
+            rig.engines.group.begin_pass()
+            rig.clock.advance(SECOND)
+            await rig.maps.round()
+        assert not rig.engines.orders
+
+    run(act)
+
+
+def test_pass_that_nobody_releases_is_released():
+    async def act(rig: Rig) -> None:
+        await rig.rounds(1)
+        group = rig.engines.group
+        held = experts.Hold(experts.Step(group.step + 1))
+        group.obey(0, held, group.epoch)
+        assert not group.begin_pass()
+        await rig.rounds(3)
+        assert group.begin_pass()
+
+    run(act)
+
+
+def test_group_is_told_broken_and_open_again():
+    async def act(rig: Rig) -> None:
+        await rig.rounds(1)
+        assert len(rig.world.serving(SERVICE)) == SIZE
+        rig.engines.is_open = False
+        await rig.rounds(1)
+        assert not rig.world.serving(SERVICE)
+        assert len(rig.maps.seen_broken()) == SIZE
+        rig.engines.is_open = True
+        await rig.rounds(1)
+        assert len(rig.world.serving(SERVICE)) == SIZE
+
+    run(act)
+
+
+def test_state_is_known_though_the_first_rank_is_silent():
+    async def act(rig: Rig) -> None:
+        await rig.rounds(1)
+        rig.engines.silent = {0}
+        rig.engines.is_open = False
+        await rig.rounds(1)
+        assert len(rig.maps.seen_broken()) == SIZE
+        rig.engines.is_open = True
+        await rig.rounds(1)
+        assert not rig.maps.seen_broken()
+
+    run(act)
+
+
+def test_process_that_loses_the_duty_tells_of_no_outage():
+    async def act(rig: Rig) -> None:
+        rig.engines.is_open = False
+        await rig.rounds(2)
+        rig.mine = False
+        await rig.rounds(1)
+        assert not rig.maps.seen_broken()
+        assert len(rig.world.serving(SERVICE)) == SIZE
+
+    run(act)
+
+
+def test_switch_that_cannot_get_on_leaves_the_duty_to_others():
+    async def act(rig: Rig) -> None:
+        await rig.rounds(1)
+        rig.engines.deaf = {2}
+        group = rig.engines.group
+        group.obey(0, experts.Hold(experts.Step(group.step + 9)), group.epoch)
+        assert not rig.maps.is_stuck()
+        await rig.rounds(3)
+        assert rig.maps.is_stuck()
+
+    run(act)
+
+
+@pytest.mark.parametrize("epochs", [1, 2])
+def test_group_that_forms_anew_gets_a_map_again(epochs: int):
+    async def act(rig: Rig) -> None:
+        await rig.rounds(4)
+        for _ in range(epochs):
+            rig.engines.group.form()
+            assert rig.engines.group.ranks[0].used == (0, FIRST)
+            await rig.rounds(3)
+        assert rig.engines.group.ranks[0].used[0] > 0
+
+    run(act)
--- /dev/null
+++ b/testing/platform/test_engines.py
@@ -0,0 +1,193 @@
+# SPDX-License-Identifier: Apache-2.0
+"""How engines are asked and ordered, by the platform's published words."""
+
+import asyncio
+import json
+
+import pytest
+
+from lugcross import desired
+from lugcross import experts
+from lugcross import http1
+from lugcross import ids
+from lugcross import platform
+
+BACKEND = desired.Backend(
+    key=desired.BackendKey("i-1"),
+    service=ids.ServiceName("s"),
+    host="127.0.0.1",
+    port=1,
+    domain=ids.DomainName("d1"),
+    slots=6,
+    state=desired.BackendState.READY,
+)
+LIMITS = experts.Limits(
+    sets=2, experts=3, places=2, spare=1, copy_s=0.1, share=0.8
+)
+REPORT = {
+    "group": {"name": "g", "epoch": 2, "rank": 1, "state": "open"},
+    "size": 8,
+    "running": 3,
+    "waiting": 1,
+    "step": 46,
+    "map": 5,
+    "prepared": 6,
+    "armed": {"version": 6, "step": 60},
+    "held": 60,
+}
+
+
+class Wire:
+    """Answers every request alike and keeps what was asked."""
+
+    def __init__(self, status: int, answer: object) -> None:
+        self.status = status
+        self.answer = answer
+        self.asked: list[tuple[str, str, bytes]] = []
+
+    async def exchange(
+        self, backend: desired.Backend, method: str, target: str, body: bytes
+    ) -> tuple[int, bytes]:
+        assert backend is BACKEND
+        self.asked.append((method, target, body))
+        if isinstance(self.answer, Exception):
+            raise self.answer
+        return self.status, json.dumps(self.answer).encode()
+
+
+def engines(
+    answer: object, status: int = 200
+) -> tuple[platform.Engines, Wire]:
+    wire = Wire(status, answer)
+    return platform.Engines(wire.exchange), wire
+
+
+def test_report_is_decoded_into_what_its_fields_say():
+    asked, wire = engines(REPORT)
+    report = asyncio.run(asked.report(BACKEND))
+    assert wire.asked == [("GET", "/report", b"")]
+    assert report == experts.Report(
+        group="g",
+        size=8,
+        rank=experts.Rank(1),
+        epoch=experts.Epoch(2),
+        is_open=True,
+        running=4,
+        step=experts.Step(46),
+        used=experts.MapVersion(5),
+        prepared=experts.MapVersion(6),
+        armed=experts.Arm(experts.MapVersion(6), experts.Step(60)),
+        held=experts.Step(60),
+    )
+
+
+def test_engine_without_a_group_has_no_report():
+    asked, _ = engines({"running": 1})
+    assert asyncio.run(asked.report(BACKEND)) is None
+
+
+def test_group_that_is_not_open_is_broken():
+    group = {**REPORT["group"], "state": "broken"}
+    asked, _ = engines({**REPORT, "group": group})
+    report = asyncio.run(asked.report(BACKEND))
+    assert report is not None
+    assert not report.is_open
+
+
+def test_counts_are_split_into_sets():
+    asked, wire = engines(
+        {"step": 9, "epoch": 1, "counts": [1, 2, 3, 4, 5, 6]}
+    )
+    counts = asyncio.run(asked.counts(BACKEND, LIMITS))
+    assert wire.asked == [("GET", "/picked", b"")]
+    assert counts.sets == ((1, 2, 3), (4, 5, 6))
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        {"step": 9, "epoch": 1, "counts": [1, 2]},
+        {"step": 9},
+        http1.BrokenError("cut", remedy=""),
+        http1.NoConnectionError("none", remedy=""),
+    ],
+    ids=["short", "malformed", "cut", "unreached"],
+)
+def test_counts_that_cannot_be_had_are_an_error_that_says_so(answer: object):
+    asked, _ = engines(answer)
+    with pytest.raises(platform.EngineError, match="i-1"):
+        asyncio.run(asked.counts(BACKEND, LIMITS))
+
+
+def test_held_experts_are_those_of_the_map_in_use():
+    asked, wire = engines(
+        {"epoch": 1, "map": {"version": 3, "experts": [[0, 2], [1]]}}
+    )
+    assert asyncio.run(asked.held_experts(BACKEND)) == ((0, 2), (1,))
+    assert wire.asked[0][1].startswith("/picked?lists")
+
+
+MAP = experts.ExpertMap((((0, 1), (2,)), ((2,), (0, 1))))
+
+
+@pytest.mark.parametrize(
+    ("order", "body"),
+    [
+        (
+            experts.Prepare(experts.MapVersion(7), MAP),
+            {
+                "operation": "prepare",
+                "version": 7,
+                "map": [[[0, 1], [2]], [[2], [0, 1]]],
+            },
+        ),
+        (
+            experts.Arm(experts.MapVersion(7), experts.Step(9)),
+            {"operation": "arm", "version": 7, "step": 9},
+        ),
+        (
+            experts.Disarm(experts.MapVersion(7)),
+            {"operation": "disarm", "version": 7},
+        ),
+        (
+            experts.Hold(experts.Step(9)),
+            {"operation": "hold", "step": 9},
+        ),
+        (
+            experts.Release(experts.Step(9)),
+            {"operation": "go", "step": 9},
+        ),
+    ],
+    ids=["prepare", "arm", "disarm", "hold", "release"],
+)
+def test_order_names_its_epoch(order: experts.Order, body: dict[str, object]):
+    asked, wire = engines({})
+    asyncio.run(asked.order(BACKEND, order, experts.Epoch(4)))
+    method, target, sent = wire.asked[0]
+    assert (method, target) == ("POST", "/order")
+    assert json.loads(sent) == {**body, "epoch": 4}
+
+
+@pytest.mark.parametrize(
+    ("status", "answer", "verdict"),
+    [
+        (200, {}, experts.Verdict.DONE),
+        (202, {}, experts.Verdict.DONE),
+        (409, {}, experts.Verdict.REFUSED),
+        (503, {}, experts.Verdict.UNKNOWN),
+        (200, http1.BrokenError("cut", remedy=""), experts.Verdict.UNKNOWN),
+        (
+            200,
+            http1.NoConnectionError("none", remedy=""),
+            experts.Verdict.UNKNOWN,
+        ),
+    ],
+    ids=["holds", "begun", "conflict", "away", "cut", "unreached"],
+)
+def test_answer_to_an_order_tells_what_became_of_it(
+    status: int, answer: object, verdict: experts.Verdict
+):
+    asked, _ = engines(answer, status)
+    order = experts.Hold(experts.Step(1))
+    found = asyncio.run(asked.order(BACKEND, order, experts.Epoch(1)))
+    assert found is verdict
