--- a/src/lugcross/edge/app.py
+++ b/src/lugcross/edge/app.py
@@ -107,6 +107,7 @@
             owner=experts.Owner(rng.getrandbits(_OWNER_BITS)),
             changed=self.knowledge.peers.changed,
             node=settings.node,
+            cfg=settings.maps,
         )
         self.knowledge.unfit = self._maps.is_stuck
         self.knowledge.seen_broken = self._maps.seen_broken
--- a/src/lugcross/edge/maps.py
+++ b/src/lugcross/edge/maps.py
@@ -13,6 +13,7 @@
 from lugcross import clock as clock_lib
 from lugcross import desired
 from lugcross.edge import groups as groups_lib
+from lugcross.edge import settings as settings_lib
 from lugcross.edge import switching
 from lugcross.edge import world as world_lib
 from lugcross import experts
@@ -40,13 +41,8 @@
 #: How long a process that could not finish a switch leaves the duty to
 #: others; as long as most cuts of single hosts last.
 _UNFIT = datetime.timedelta(seconds=10)
-#: Part of a pass that a new map must save to be worth its orders, and
-#: longest time that ranks may copy for one map: demand stays as it is for a
-#: few seconds, so that the first few copies, early, are worth most. Chosen
-#: on recorded counts, see docs/design/0006-expert-maps.md.
-_LEAST_SAVING = 0.25
-_COPY_TIME = datetime.timedelta(milliseconds=450)
-
+#: Stands for the time of one copy where the platform tells none, seconds.
+_NO_COPY_S = 0.001
 #: Passes that may have begun since the report that told the last one, some
 #: hundred milliseconds old, and until all ranks are armed.
 _AHEAD = 5
@@ -62,6 +58,7 @@
     :param owner: chooses versions and passes for this process.
     :param changed: called when a group has broken or formed anew.
     :param node: name of this process's host.
+    :param cfg: when a map is worth changing.
     """
 
     def __init__(
@@ -75,7 +72,9 @@
         owner: experts.Owner,
         changed: Callable[[], None],
         node: str,
+        cfg: settings_lib.Maps,
     ) -> None:
+        self._cfg = cfg
         self._changed = changed
         self._node = node
         self._world = world
@@ -286,13 +285,13 @@
     def _consider(self, group: groups_lib.Group, uses: experts.Demand) -> None:
         assert group.used is not None
         limits = group.limits
-        copies = int(_COPY_TIME.total_seconds() / (limits.copy_s or 1e-3))
+        copies = int(self._cfg.copy_s / (limits.copy_s or _NO_COPY_S))
         plan = experts.plan(
             uses, group.used, limits, most_copies=max(1, copies)
         )
         before = experts.pass_time(plan.skew_before, limits.share)
         after = experts.pass_time(plan.skew_after, limits.share)
-        worth = 1.0 - after / before >= _LEAST_SAVING
+        worth = 1.0 - after / before >= self._cfg.least_saving
         logging.info(
             "expert map planned",
             extra={
--- a/src/lugcross/edge/settings.py
+++ b/src/lugcross/edge/settings.py
@@ -87,6 +87,36 @@
         return datetime.timedelta(milliseconds=self.drain_ms)
 
 
+@final
+class Maps(_Strict, frozen=True, kw_only=True):
+    """When the expert map of a group changes.
+
+    Lower both for steps that are as even as can be, raise the first where
+    moving experts disturbs more than uneven steps do.
+
+    :param least_saving: part of a pass that a new map must save, 0 to 1;
+        with 1 no map is ever changed.
+    :param copy_ms: longest time that ranks may copy experts for one map:
+        demand stays as it is for a few seconds, so that the first few
+        copies, early, are worth most. Both defaults were chosen on
+        recorded counts, see docs/design/0006-expert-maps.md.
+    """
+
+    least_saving: float = 0.25
+    copy_ms: float = 450.0
+
+    def __post_init__(self) -> None:
+        if not 0.0 <= self.least_saving <= 1.0:
+            raise ValueError("least_saving must be 0 to 1")
+        if self.copy_ms <= 0:
+            raise ValueError("copy_ms must be over 0")
+
+    @property
+    def copy_s(self) -> float:
+        """Longest time that ranks may copy for one map, in seconds."""
+        return self.copy_ms / 1000.0
+
+
 @final
 class Settings(_Strict, frozen=True, kw_only=True):
     """Settings of one process.
@@ -101,6 +131,7 @@
     store: Store
     bounds: Bounds
     seeds: tuple[str, ...] = ()
+    maps: Maps = Maps()
     level: str = "info"
 
 
--- a/testing/edge/test_maps.py
+++ b/testing/edge/test_maps.py
@@ -96,7 +96,7 @@
 class Rig:
     """One process's maps over model ranks, with time moved by hand."""
 
-    def __init__(self) -> None:
+    def __init__(self, cfg: settings_lib.Maps) -> None:
         self.clock = clock_lib.ManualClock()
         self.engines = Engines()
         settings = settings_lib.Settings(
@@ -122,6 +122,7 @@
             owner=experts.Owner(1),
             changed=self._changed,
             node="n1",
+            cfg=cfg,
         )
         self._adopt()
 
@@ -166,9 +167,12 @@
             await self.maps.idle()
 
 
-def run(act: Callable[[Rig], Awaitable[object]]) -> None:
+def run(
+    act: Callable[[Rig], Awaitable[object]],
+    cfg: settings_lib.Maps | None = None,
+) -> None:
     async def main() -> None:
-        await act(Rig())
+        await act(Rig(cfg or settings_lib.Maps()))
 
     asyncio.run(main())
 
@@ -208,6 +212,24 @@
     run(act)
 
 
+def test_operator_can_keep_all_maps_as_they_are():
+    async def act(rig: Rig) -> None:
+        await rig.rounds(5)
+        assert not rig.engines.orders
+
+    run(act, settings_lib.Maps(least_saving=1.0))
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [{"least_saving": 1.5}, {"least_saving": -0.1}, {"copy_ms": 0}],
+    ids=["over-one", "negative", "no-time"],
+)
+def test_settings_that_make_no_sense_are_refused(fields: dict[str, float]):
+    with pytest.raises(ValueError, match=next(iter(fields))):
+        settings_lib.Maps(**fields)
+
+
 def test_pass_that_nobody_releases_is_released():
     async def act(rig: Rig) -> None:
         await rig.rounds(1)
