Test decisions side by side, and let the log's stand-in stop at once

Cause: the suite took 170 s. Four fixtures waited 10 s each for the log's stand-in, whose server waits at its stop for reads that wait for news (timed: log 9.1 s, all others under 0.9 s); state machines of decisions took some 50 s one after the other. Change: the stand-in answers waiting reads when it stops (0.23 s); tests of pure modules, which open no sockets (grep), run four side by side; all others one by one as before, so that no port is taken from a test.

--- a/Makefile
+++ b/Makefile
@@ -16,12 +16,16 @@
 demo: venv
 	$(BIN)/lugcross demo
 
-# One by one unless asked otherwise: some tests start a process again at
+# Decisions are tested side by side; what opens sockets or starts processes
+# runs after them, one by one: some of these tests start a process again at
 # the port that it had, which a test beside them may have taken meanwhile.
-TEST_JOBS ?= 0
+TEST_JOBS ?= 4
+DECISIONS := $(addprefix testing/,agent cfg entry experts membership \
+    placement routing shares)
 
 test: venv
-	$(BIN)/pytest -n $(TEST_JOBS)
+	$(BIN)/pytest -n $(TEST_JOBS) $(DECISIONS)
+	$(BIN)/pytest $(addprefix --ignore=,$(DECISIONS))
 
 lint: venv
 	$(BIN)/ruff format --check .
--- a/src/lugcross/cli/standin.py
+++ b/src/lugcross/cli/standin.py
@@ -50,7 +50,8 @@
 @click.pass_obj
 def log(place: _Place, rate: float, retention: float) -> None:
     """Run the platform's append-only log."""
-    place.run(standin_lib.LogStandin(rate=rate, retention_s=retention))
+    app = standin_lib.LogStandin(rate=rate, retention_s=retention)
+    place.run(app, app_lib.Hook(name="reads", drain=app.close))
 
 
 @standin.command()
