Leave a switch before it holds a pass where orders go unanswered

Ruled out: more processes at work (the duty moved because they gave up). Change: a rank that does not answer three orders to prepare ends the switch; orders are given again after 0.1 s; what holds nothing is left after 1 s, what holds is brought to its end for 5 s.

--- a/src/lugcross/edge/app.py
+++ b/src/lugcross/edge/app.py
@@ -97,10 +97,12 @@
             clock=clock,
             rng=rng,
         )
-        caller = engines_lib.Caller(self.world.pool)
+        pool = self.world.pool
+        reports = engines_lib.Caller(pool, answer_s=engines_lib.REPORT_S)
+        orders = engines_lib.Caller(pool, answer_s=engines_lib.ORDER_S)
         self._maps = maps_lib.Maps(
             self.world,
-            platform.Engines(caller.exchange),
+            platform.Engines(reports.exchange, orders.exchange),
             clock=clock,
             sleep=asyncio.sleep,
             mine=self.knowledge.has_duty,
--- a/src/lugcross/edge/engines.py
+++ b/src/lugcross/edge/engines.py
@@ -9,17 +9,25 @@
 from lugcross import http1
 from lugcross import platform
 
-#: Longest wait for an answer, in seconds: a few round trips and an engine's
-#: own work; one that takes longer is asked again.
-_ANSWER_S = 0.25
+#: Longest wait for a report, in seconds: many round trips; one that takes
+#: longer is asked for again.
+REPORT_S = 0.25
+#: Longest wait for the answer to an order, in seconds. Ranks answer within
+#: some milliseconds, and a group may stand still until an order that got no
+#: answer is given again.
+ORDER_S = 0.1
 
 
 @final
 class Caller:
-    """Sends one request at a time over a pooled connection."""
+    """Sends one request at a time over a pooled connection.
 
-    def __init__(self, pool: pool_lib.Pool) -> None:
+    :param answer_s: longest wait, in seconds.
+    """
+
+    def __init__(self, pool: pool_lib.Pool, *, answer_s: float) -> None:
         self._pool = pool
+        self._answer_s = answer_s
 
     async def exchange(
         self, backend: desired.Backend, method: str, target: str, body: bytes
@@ -35,14 +43,14 @@
             headers.append((b"Content-Type", b"application/json"))
             headers.append((b"Content-Length", str(len(body)).encode()))
         try:
-            async with asyncio.timeout(_ANSWER_S):
+            async with asyncio.timeout(self._answer_s):
                 conn.send(method.encode(), target.encode(), headers, body)
                 answer = await conn.answer()
                 got = await conn.body()
         except TimeoutError as exc:
             conn.close()
             raise http1.BrokenError(
-                f"no answer within {_ANSWER_S} s", remedy="ask again"
+                f"no answer within {self._answer_s} s", remedy="ask again"
             ) from exc
         except BaseException:
             conn.close()
--- a/src/lugcross/edge/switching.py
+++ b/src/lugcross/edge/switching.py
@@ -15,9 +15,13 @@
 from lugcross import experts
 from lugcross import platform
 
-#: Time after which a switch that does not get on is left to another
-#: process, which may reach the ranks that this one cannot.
-_GIVE_UP = datetime.timedelta(seconds=3)
+#: Time, past what copying takes, after which a switch that holds nothing
+#: yet is left: demand has moved on.
+_LEAVE = datetime.timedelta(seconds=1)
+#: Time after which a switch that holds a pass is left to another process,
+#: which may reach the ranks that this one cannot. Far longer than orders of
+#: which half go unanswered take.
+_GIVE_UP = datetime.timedelta(seconds=5)
 #: Rest between two rounds of orders of which some were not done, seconds.
 _AGAIN_S = 0.04
 #: Copying is taken to last this much longer than the links alone tell.
@@ -53,14 +57,15 @@
         """
         since = self._clock.monotonic()
         copying = copies * self._group.limits.copy_s
-        limit = _GIVE_UP + datetime.timedelta(seconds=copying * _COPY_MORE)
+        copied = since + datetime.timedelta(seconds=copying * _COPY_MORE)
         while switch.phase is not experts.Phase.OVER:
-            if self._clock.monotonic() - since > limit:
+            now = self._clock.monotonic()
+            if now - copied > _GIVE_UP:
                 return False
-            if not self._group.is_open:
-                # Nothing moves until it forms anew; before anything is
-                # held, that is reason enough to leave it.
+            late = now - copied > _LEAVE
+            if not switch.holds and (late or not self._group.is_open):
                 switch.leave()
+                continue
             if switch.phase is experts.Phase.COPY:
                 await self._sleep(copying * _COPY_MORE + _COPY_ADD_S)
                 await self._name_step(switch)
--- a/src/lugcross/experts/switch.py
+++ b/src/lugcross/experts/switch.py
@@ -29,9 +29,10 @@
 from lugcross.experts import model
 from lugcross.experts import orders
 
-#: Tries of an order that prepares, before anything is armed, after which
-#: the switch is left: no harm is done yet, and demand moves on.
-_PREPARE_TRIES = 6
+#: Tries of one rank's order to prepare after which the switch is left. No
+#: harm is done yet; where orders go unanswered so often, arming all ranks
+#: would hold up the group for long.
+_PREPARE_TRIES = 3
 #: Tries to hold a pass. Each refusal means that the pass had begun.
 _HOLD_TRIES = 6
 #: Refusals of one rank to be armed after which it is asked to decide
@@ -99,6 +100,7 @@
         self._refusals: collections.Counter[orders.Rank] = (
             collections.Counter()
         )
+        self._unheard: collections.Counter[orders.Rank] = collections.Counter()
         self._decider = orders.Rank(0)
         self._may_arm = True
         self._disarmed: set[orders.Rank] = set()
@@ -140,6 +142,11 @@
         made._enter(Phase.ARM if made._may_arm else Phase.DECIDE)
         return made
 
+    @property
+    def holds(self) -> bool:
+        """Whether a pass may be held, so that it must be brought to an end."""
+        return bool(self._held) and self.phase is not Phase.OVER
+
     @property
     def outcome(self) -> Outcome:
         """What came of it, once it is over."""
@@ -264,8 +271,8 @@
             if not self._left:
                 self._enter(Phase.COPY)
         else:
-            self._tries += 1
-            if self._tries >= _PREPARE_TRIES * self._size:
+            self._unheard[rank] += 1
+            if self._unheard[rank] >= _PREPARE_TRIES:
                 self._end(Outcome.LEFT)
 
     def _hold_tried(self, verdict: orders.Verdict) -> None:
--- a/src/lugcross/platform/engines.py
+++ b/src/lugcross/platform/engines.py
@@ -83,11 +83,13 @@
 class Engines:
     """Asks engines and gives them orders.
 
-    :param exchange: sends one request to a backend server.
+    :param ask: sends a question to a backend server.
+    :param give: sends an order, with the patience that orders get.
     """
 
-    def __init__(self, exchange: Exchange) -> None:
-        self._exchange = exchange
+    def __init__(self, ask: Exchange, give: Exchange) -> None:
+        self._ask = ask
+        self._give = give
 
     async def report(self, backend: desired.Backend) -> experts.Report | None:
         """Return the state of a rank; none if it is in no group.
@@ -160,7 +162,7 @@
         """Give an order that counts in ``epoch`` only."""
         body = msgspec.json.encode({**_fields(order), "epoch": epoch})
         try:
-            status, _ = await self._exchange(backend, "POST", _ORDER, body)
+            status, _ = await self._give(backend, "POST", _ORDER, body)
         except http1.BrokenError:
             return experts.Verdict.UNKNOWN
         except http1.NoConnectionError:
@@ -176,7 +178,7 @@
         self, backend: desired.Backend, path: str, kind: type[_T]
     ) -> _T:
         try:
-            status, body = await self._exchange(backend, "GET", path, b"")
+            status, body = await self._ask(backend, "GET", path, b"")
         except (http1.BrokenError, http1.NoConnectionError) as exc:
             raise _no_answer(backend, str(exc)) from exc
         if status != http.HTTPStatus.OK:
--- a/testing/platform/test_engines.py
+++ b/testing/platform/test_engines.py
@@ -59,7 +59,7 @@
     answer: object, status: int = 200
 ) -> tuple[platform.Engines, Wire]:
     wire = Wire(status, answer)
-    return platform.Engines(wire.exchange), wire
+    return platform.Engines(wire.exchange, wire.exchange), wire
 
 
 def test_report_is_decoded_into_what_its_fields_say():
