Test that no class of requests starves under lasting overload

Change: callers, admission and servers in time moved by hand, at twice the load: every route, size and workspace is served at least half as often as all.

--- /dev/null
+++ b/testing/edge/test_fairness.py
@@ -0,0 +1,108 @@
+# SPDX-License-Identifier: Apache-2.0
+"""Under lasting overload no route, size or workspace is left out."""
+
+import collections
+import dataclasses
+import datetime
+import random
+
+import pytest
+
+from lugcross.edge import admission
+
+SERVERS = 4
+SLOTS = 6
+#: Requests that come in a second, some twice of what can be served.
+RATE = 40.0
+LIFE = datetime.timedelta(seconds=8)
+SECONDS = 120
+TICK = datetime.timedelta(milliseconds=10)
+
+
+@dataclasses.dataclass(frozen=True)
+class Request:
+    """One request and who sent it; ``since`` is its first attempt."""
+
+    route: str
+    large: bool
+    workspace: str
+    since: datetime.timedelta
+    back: bool = False
+
+    @property
+    def work(self) -> datetime.timedelta:
+        return datetime.timedelta(seconds=2.0 if self.large else 0.8)
+
+
+class Overload:
+    """Callers, admission and servers in time that is moved by hand."""
+
+    def __init__(self, seed: int) -> None:
+        self.rng = random.Random(seed)
+        self.now = datetime.timedelta()
+        self.busy: list[datetime.timedelta] = []
+        self.later: list[tuple[datetime.timedelta, Request]] = []
+        self.returns: dict[str, admission.Returns] = {}
+        self.asked: collections.Counter[tuple[str, bool, str]] = (
+            collections.Counter()
+        )
+        self.served: collections.Counter[tuple[str, bool, str]] = (
+            collections.Counter()
+        )
+
+    def run(self) -> None:
+        ticks = int(datetime.timedelta(seconds=SECONDS) / TICK)
+        for _ in range(ticks):
+            self.now += TICK
+            self.busy = [end for end in self.busy if end > self.now]
+            due = [one for at, one in self.later if at <= self.now]
+            self.later = [pair for pair in self.later if pair[0] > self.now]
+            if self.rng.random() < RATE * TICK.total_seconds():
+                due.append(self._new())
+            for one in due:
+                self._ask(one)
+
+    def _new(self) -> Request:
+        request = Request(
+            route=self.rng.choice(("draft", "digest")),
+            large=self.rng.random() < 0.1,
+            workspace=self.rng.choice(("a", "a", "a", "b")),
+            since=self.now,
+        )
+        self.asked[self._class(request)] += 1
+        return request
+
+    def _class(self, one: Request) -> tuple[str, bool, str]:
+        return one.route, one.large, one.workspace
+
+    def _ask(self, one: Request) -> None:
+        left = LIFE - (self.now - one.since)
+        returns = self.returns.setdefault(one.route, admission.Returns())
+        picture = admission.Picture(
+            servers=SERVERS,
+            slots=SERVERS * SLOTS,
+            busy=len(self.busy),
+            least=len(self.busy) // SERVERS,
+            fresh=0,
+            peers=0,
+        )
+        verdict = admission.admit(picture, SLOTS, back=returns.is_back(left))
+        if verdict is None:
+            self.busy.append(self.now + one.work)
+            self.served[self._class(one)] += 1
+        elif not one.back:
+            wait = datetime.timedelta(seconds=self.rng.uniform(0.7, 1.6))
+            again = dataclasses.replace(one, back=True)
+            self.later.append((self.now + wait, again))
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_every_class_is_served_nearly_as_often_as_all(seed: int):
+    overload = Overload(seed)
+    overload.run()
+    total = sum(overload.served.values()) / sum(overload.asked.values())
+    # Without overload the test would say nothing.
+    assert 0.3 < total < 0.9
+    for one, asked in overload.asked.items():
+        share = overload.served[one] / asked
+        assert share > 0.5 * total, one
