Go by changed settings at once, also without a signal

Cause: SIGHUP read and checked the file, but bounds taken at the start stayed, and a file that changed without a signal was never read. Change: bounds and thresholds of maps count from the moment they are read; the file's time of change is looked at every second; a file that cannot be used changes nothing; repeats already spent stay counted.

--- a/src/lugcross/edge/app.py
+++ b/src/lugcross/edge/app.py
@@ -5,6 +5,7 @@
 from collections.abc import Coroutine
 import datetime
 import functools
+import pathlib
 import random
 import signal
 from typing import Any
@@ -82,6 +83,7 @@
         self._settings = settings
         self._clock = clock
         self._file = file
+        self._read_at = _changed_at(file) if file else 0
         rng = random.Random()
         self.world = world_lib.World(settings, clock=clock, rng=rng)
         self._store = platform.StoreClient(
@@ -168,7 +170,7 @@
         return ""
 
     def _loops(self) -> list[Coroutine[Any, Any, None]]:
-        bounds = self._settings.bounds
+        world = self.world
         known = self.knowledge
         desired_follower = follow.Follower(
             self._store,
@@ -176,7 +178,7 @@
             known.take_desired,
             known.trouble,
             gap=_DESIRED_GAP,
-            wait=lambda: self._wait(bounds.change),
+            wait=lambda: self._wait(world.bounds.change),
         )
         backends_follower = follow.Follower(
             self._store,
@@ -184,7 +186,7 @@
             known.take_backends,
             known.trouble,
             gap=_BACKENDS_GAP,
-            wait=lambda: self._wait(bounds.drain),
+            wait=lambda: self._wait(world.bounds.drain),
         )
         return [
             desired_follower.run(),
@@ -273,13 +275,14 @@
         while True:
             await asyncio.sleep(_SWEEP_S)
             self.world.sweep()
+            self.look_at_file()
 
     async def _drain(self) -> None:
         """Let the balancer notice, then finish what is held."""
         begun = self._clock.monotonic()
         self._leaving_since = begun
         self.knowledge.leave()
-        end = begun + self._settings.bounds.grace * _GRACE_PART
+        end = begun + self.world.bounds.grace * _GRACE_PART
         while self._clock.monotonic() < end:
             if self._closed():
                 for conn in list(self._conns):
@@ -293,13 +296,33 @@
         logging.info("stop asked")
         self._stop.set()
 
+    def look_at_file(self) -> None:
+        """Read the settings anew if their file has changed unannounced."""
+        if self._file and self._read_at != _changed_at(self._file):
+            self._reload()
+
     def _reload(self) -> None:
-        """Read the settings anew; what was in force stays on an error."""
+        """Read the settings anew; what was in force stays on an error.
+
+        Addresses are taken at the start only; all else counts from now on.
+        """
         if not self._file:
             return
+        self._read_at = _changed_at(self._file)
         try:
-            self._settings = settings_lib.load(self._file)
+            settings = settings_lib.load(self._file)
         except errors.SettingsError as exc:
             logging.error("settings kept out", extra={"why": str(exc)})
             return
+        self.world.allow(settings.bounds)
+        self._maps.cfg = settings.maps
         logging.info("settings read anew")
+
+
+def _changed_at(path: str) -> int:
+    """Return when a file was changed, in ns; 0 while there is none."""
+    try:
+        return pathlib.Path(path).stat().st_mtime_ns
+    except OSError as exc:
+        logging.warning("no settings file", extra={"why": str(exc)})
+        return 0
--- a/src/lugcross/edge/backends.py
+++ b/src/lugcross/edge/backends.py
@@ -1,6 +1,7 @@
 # SPDX-License-Identifier: Apache-2.0
 """What one process believes of the backend servers, and since when."""
 
+from collections.abc import Callable
 import dataclasses
 import datetime
 from typing import final
@@ -47,7 +48,10 @@
     """
 
     def __init__(
-        self, clock: clock_lib.Clock, *, drain: datetime.timedelta
+        self,
+        clock: clock_lib.Clock,
+        *,
+        drain: Callable[[], datetime.timedelta],
     ) -> None:
         self._clock = clock
         self._drain = drain
@@ -99,7 +103,7 @@
             known.backend
             for known in here
             if known.leaving_at is not None
-            and now - known.leaving_at < self._drain * _DRAIN_PART
+            and now - known.leaving_at < self._drain() * _DRAIN_PART
         ]
 
     def age(self) -> datetime.timedelta:
@@ -123,7 +127,7 @@
     def _held(self, known: _Known, now: clock_lib.Instant) -> bool:
         if not known.lapsed or known.leaving_at is None:
             return False
-        return now - known.leaving_at < self._drain * _LAPSE_PART
+        return now - known.leaving_at < self._drain() * _LAPSE_PART
 
     def _take(self, record: platform.KeyedRecord, away: bool) -> None:
         key = desired.BackendKey(record.key)
@@ -198,5 +202,5 @@
         for key, known in list(self._known.items()):
             if not known.removed or known.leaving_at is None:
                 continue
-            if now - known.leaving_at > self._drain:
+            if now - known.leaving_at > self._drain():
                 self.forget(key, "its entry is gone from the list")
--- a/src/lugcross/edge/knowledge.py
+++ b/src/lugcross/edge/knowledge.py
@@ -126,7 +126,7 @@
     def take_backends(self, tail: platform.Tail, newest: bool) -> None:
         """Take over records of backend servers."""
         contact = datetime.timedelta(
-            milliseconds=self._settings.bounds.contact_ms
+            milliseconds=self._world.bounds.contact_ms
         )
         away = self.trouble.within(contact)
         if newest:
--- a/src/lugcross/edge/maps.py
+++ b/src/lugcross/edge/maps.py
@@ -74,7 +74,7 @@
         node: str,
         cfg: settings_lib.Maps,
     ) -> None:
-        self._cfg = cfg
+        self.cfg = cfg
         self._changed = changed
         self._node = node
         self._world = world
@@ -285,13 +285,13 @@
     def _consider(self, group: groups_lib.Group, uses: experts.Demand) -> None:
         assert group.used is not None
         limits = group.limits
-        copies = int(self._cfg.copy_s / (limits.copy_s or _NO_COPY_S))
+        copies = int(self.cfg.copy_s / (limits.copy_s or _NO_COPY_S))
         plan = experts.plan(
             uses, group.used, limits, most_copies=max(1, copies)
         )
         before = experts.pass_time(plan.skew_before, limits.share)
         after = experts.pass_time(plan.skew_after, limits.share)
-        worth = 1.0 - after / before >= self._cfg.least_saving
+        worth = 1.0 - after / before >= self.cfg.least_saving
         logging.info(
             "expert map planned",
             extra={
--- a/src/lugcross/edge/world.py
+++ b/src/lugcross/edge/world.py
@@ -39,7 +39,8 @@
         clock: clock_lib.Clock,
         rng: random.Random,
     ) -> None:
-        self._settings = settings
+        #: What the operators allow now; settings may be read anew.
+        self.bounds = settings.bounds
         self._clock = clock
         self._rng = rng
         self._home = ids.DomainName(settings.domain)
@@ -51,7 +52,7 @@
         self.desired: desired.Desired | None = None
         self.desired_record = b""
         self.backends = backends_lib.Backends(
-            clock, drain=settings.bounds.drain
+            clock, drain=lambda: self.bounds.drain
         )
         self.loads = loads_lib.Loads(clock)
         self.outages = outages_lib.Outages(clock)
@@ -74,6 +75,16 @@
         )
         return True
 
+    def allow(self, bounds: settings_lib.Bounds) -> None:
+        """Go by other bounds from now on."""
+        self.bounds = bounds
+        for budget in self._budgets.values():
+            budget.allow(
+                ratio=bounds.repeat_ratio,
+                window_s=bounds.repeat_window_s,
+                slack=bounds.repeat_slack,
+            )
+
     def engine(self, service: ids.ServiceName) -> desired.Engine | None:
         """Return how the engines of ``service`` work, if it has any."""
         if self.desired is None:
@@ -159,7 +170,7 @@
         """Return this process's part of the repeats of ``service``."""
         found = self._budgets.get(service)
         if found is None:
-            bounds = self._settings.bounds
+            bounds = self.bounds
             found = routing.RepeatBudget(
                 ratio=bounds.repeat_ratio,
                 window_s=bounds.repeat_window_s,
--- a/src/lugcross/routing/window.py
+++ b/src/lugcross/routing/window.py
@@ -35,11 +35,15 @@
     def __init__(
         self, *, ratio: float, window_s: float, slack: float = 0.0
     ) -> None:
+        self.allow(ratio=ratio, window_s=window_s, slack=slack)
+        self._asked: collections.deque[clock_lib.Instant] = collections.deque()
+        self._spent: collections.deque[clock_lib.Instant] = collections.deque()
+
+    def allow(self, *, ratio: float, window_s: float, slack: float) -> None:
+        """Change what is allowed; what was spent stays counted."""
         self._slack = slack * _SLACK_PART
         self._ratio = ratio * _SPENT_PART
         self._window = datetime.timedelta(seconds=window_s)
-        self._asked: collections.deque[clock_lib.Instant] = collections.deque()
-        self._spent: collections.deque[clock_lib.Instant] = collections.deque()
 
     def asked(self, now: clock_lib.Instant) -> None:
         """Note one request of a caller."""
--- a/testing/edge/test_backends.py
+++ b/testing/edge/test_backends.py
@@ -27,7 +27,7 @@
 class _Rig:
     def __init__(self) -> None:
         self.clock = clock_lib.ManualClock()
-        self.list = backends_lib.Backends(self.clock, drain=DRAIN)
+        self.list = backends_lib.Backends(self.clock, drain=lambda: DRAIN)
 
     def told(self, *records, end=100, away=False, newest=False):
         tail = platform.Tail(end=ids.Offset(end), records=records)
