--- /dev/null
+++ b/bench/maps.py
@@ -0,0 +1,61 @@
+# SPDX-License-Identifier: Apache-2.0
+"""What planning an expert map costs, by size of the group.
+
+``python bench/maps.py`` prints processor milliseconds of one plan from the
+first map, skew before and after, and the bytes of one order to prepare.
+"""
+
+import random
+import time
+
+import msgspec
+
+from lugcross import experts
+
+#: Ranks, sets and experts of each group that is tried.
+SIZES = [(8, 6, 64), (32, 12, 128), (256, 12, 128), (256, 60, 128)]
+#: Popularity of the expert in place n: about what engines showed.
+_FALL = 1.6
+_COPIES = 3
+
+
+def demand(sets: int, experts_a_set: int) -> list[list[float]]:
+    """Return uses that fall steeply, another order in each set."""
+    rng = random.Random(1)
+    rows = []
+    for _ in range(sets):
+        row = [1e6 / (num + 1) ** _FALL for num in range(experts_a_set)]
+        rng.shuffle(row)
+        rows.append(row)
+    return rows
+
+
+def main() -> None:
+    """Print a line for each size."""
+    for ranks, sets, count in SIZES:
+        places = max(2, count // ranks + 3)
+        limits = experts.Limits(
+            sets=sets,
+            experts=count,
+            places=places,
+            spare=4,
+            copy_s=0.1,
+            share=0.85,
+        )
+        # A group needs a place for each expert; small ones hold several.
+        first = experts.dealt_out(ranks, limits)
+        begun = time.process_time()
+        plan = experts.plan(
+            demand(sets, count), first, limits, most_copies=_COPIES
+        )
+        took_ms = (time.process_time() - begun) * 1000
+        order = msgspec.json.encode(list(zip(*plan.next.ranks, strict=True)))
+        print(
+            f"{ranks} ranks x {sets} sets x {count} experts: "
+            f"{took_ms:.1f} ms, skew {plan.skew_before:.2f} -> "
+            f"{plan.skew_after:.2f}, order {len(order)} bytes"
+        )
+
+
+if __name__ == "__main__":
+    main()
