Keep looking after maps whatever fails once, and split off what sees demand

Cause, found by reading: a fault in one round would have ended the looking without a line anyone reads, one in a switch would have left its group marked busy for good, and one service's unknown ranks kept another service's from being asked. Tests: two, which fail without the change (the loop ends; the group stays as it is).

--- a/src/lugcross/edge/maps.py
+++ b/src/lugcross/edge/maps.py
@@ -14,6 +14,7 @@
 from lugcross import desired
 from lugcross.edge import groups as groups_lib
 from lugcross.edge import settings as settings_lib
+from lugcross.edge import sight as sight_lib
 from lugcross.edge import switching
 from lugcross.edge import world as world_lib
 from lugcross import experts
@@ -30,11 +31,6 @@
 _ASKED = 3
 #: Time between two rounds of asking who is which rank of which group.
 _PLACE = datetime.timedelta(seconds=1)
-#: Time between two readings of counts. Demand jumps every few seconds;
-#: each reading is priced by its counts.
-_READ = datetime.timedelta(milliseconds=800)
-#: Age up to which a group that formed anew is planned for by old demand.
-_LATELY = datetime.timedelta(seconds=15)
 #: How long a pass held by someone else is left alone: a switch releases
 #: it within some tens of milliseconds, reports are some hundred old.
 _LEFT_AFTER = datetime.timedelta(milliseconds=400)
@@ -84,12 +80,9 @@
         self._engines = engines
         self._sleep = sleep
         self._groups = groups_lib.Groups()
-        self._read: dict[ids.ServiceName, _Reading] = {}
-        self._uses: dict[
-            ids.ServiceName, tuple[experts.Demand, clock_lib.Instant]
-        ] = {}
+        self._sight = sight_lib.Sight(engines, clock)
         self._tasks: set[asyncio.Task[None]] = set()
-        self._placed_at: clock_lib.Instant | None = None
+        self._placed_at: dict[ids.ServiceName, clock_lib.Instant] = {}
         self._stuck_at: clock_lib.Instant | None = None
         self._had = False
 
@@ -110,15 +103,19 @@
         """Look after the maps until cancelled."""
         while True:
             await self._sleep(_ROUND_S)
-            await self.round()
+            try:
+                await self.round()
+            except Exception:
+                # A fault in here must not end the looking: maps would stay
+                # as they are, and a pass held by a dead process held.
+                logging.exception("looking after expert maps failed")
 
     def _note_duty(self, mine: bool) -> None:
         if mine == self._had:
             return
         self._had = mine
         self._groups.clear()
-        self._read.clear()
-        self._uses.clear()
+        self._sight.clear()
         logging.info("duty of expert maps", extra={"mine": mine})
 
     async def idle(self) -> None:
@@ -149,36 +146,27 @@
         self._groups.keep_only(backends)
         groups = self._groups.of(service)
         uses, *_ = await asyncio.gather(
-            self._demand(service, groups, limits),
+            self._sight.demand(service, groups, limits),
             self._place(self._groups.unplaced(backends), limits),
             *map(self._look, groups),
         )
-        if uses is not None:
-            self._uses[service] = uses, self._clock.monotonic()
         for group in groups:
-            known = uses or (self._lately(service) if group.is_new else None)
+            known = uses
+            if known is None and group.is_new:
+                known = self._sight.lately(service)
             if known is not None and group.ready:
                 self._consider(group, known)
 
-    def _lately(self, service: ids.ServiceName) -> experts.Demand | None:
-        """Return what was in demand a while ago, for a group just formed.
-
-        About half of it has changed every few seconds; the rest is more
-        than a new group's first map knows.
-        """
-        found = self._uses.get(service)
-        if found is None or self._clock.monotonic() - found[1] > _LATELY:
-            return None
-        return found[0]
-
     async def _place(
         self, backends: list[desired.Backend], limits: experts.Limits
     ) -> None:
+        if not backends:
+            return
         now = self._clock.monotonic()
-        if self._placed_at is not None and now - self._placed_at < _PLACE:
+        last = self._placed_at.get(backends[0].service)
+        if last is not None and now - last < _PLACE:
             return
-        if backends:
-            self._placed_at = now
+        self._placed_at[backends[0].service] = now
         reports = await asyncio.gather(*map(self._report, backends))
         for backend, report in zip(backends, reports, strict=True):
             if report is not None:
@@ -257,31 +245,6 @@
             return None
         return experts.ExpertMap(tuple(ranks))
 
-    async def _demand(
-        self,
-        service: ids.ServiceName,
-        groups: list[groups_lib.Group],
-        limits: experts.Limits,
-    ) -> experts.Demand | None:
-        """Return what was in demand since the last reading, if it is due."""
-        source = next((g for g in groups if g.is_open and g.whole), None)
-        now = self._clock.monotonic()
-        last = self._read.get(service)
-        if source is None:
-            return None
-        if last is not None and now - last.at < _READ:
-            return None
-        backend = source.members[experts.Rank(0)]
-        try:
-            counts = await self._engines.counts(backend, limits)
-        except platform.EngineError as exc:
-            logging.info("no counts", extra={"why": str(exc)})
-            return None
-        self._read[service] = _Reading(backend.key, counts, now)
-        if last is None or last.backend != backend.key:
-            return None
-        return experts.between(last.counts, counts)
-
     def _consider(self, group: groups_lib.Group, uses: experts.Demand) -> None:
         assert group.used is not None
         limits = group.limits
@@ -312,10 +275,23 @@
         work: Coroutine[Any, Any, None],
     ) -> None:
         group.busy = True
-        task = asyncio.create_task(work)
+        task = asyncio.create_task(self._work_on(group, work))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    async def _work_on(
+        self, group: groups_lib.Group, work: Coroutine[Any, Any, None]
+    ) -> None:
+        try:
+            await work
+        except Exception:
+            # Whoever looks next finds what this one may have left held.
+            logging.exception("a switch failed", extra={"group": group.name})
+        finally:
+            group.busy = False
+            group.looked_at = None
+            group.hold_seen = None
+
     async def _change(
         self, group: groups_lib.Group, plan: experts.Plan
     ) -> None:
@@ -350,7 +326,6 @@
         ]
         used = group.used or await self._read_map(group)
         if used is None:
-            group.busy = False
             return
         logging.warning(
             "held pass was left",
@@ -376,14 +351,9 @@
         driver = switching.Driver(
             self._engines, group, self._clock, self._sleep
         )
-        try:
-            finished = await driver.run(switch, plan.copies if plan else 0)
-            if not finished:
-                self._stuck_at = self._clock.monotonic()
-        finally:
-            group.busy = False
-            group.looked_at = None
-            group.hold_seen = None
+        finished = await driver.run(switch, plan.copies if plan else 0)
+        if not finished:
+            self._stuck_at = self._clock.monotonic()
         logging.info(
             "expert map switched",
             extra={
@@ -396,18 +366,3 @@
         )
         if plan and switch.outcome is experts.Outcome.SWITCHED:
             group.switched(switch.version, plan.next)
-
-
-@final
-class _Reading:
-    """Counts of one rank and when they were read."""
-
-    def __init__(
-        self,
-        backend: desired.BackendKey,
-        counts: experts.Counts,
-        at: clock_lib.Instant,
-    ) -> None:
-        self.backend = backend
-        self.counts = counts
-        self.at = at
--- a/testing/edge/test_maps.py
+++ b/testing/edge/test_maps.py
@@ -297,6 +297,39 @@
     run(act)
 
 
+def test_fault_in_one_round_does_not_end_the_looking():
+    async def act(rig: Rig) -> None:
+        rounds = []
+
+        async def fail(backend: desired.Backend) -> experts.Report:
+            rounds.append(backend)
+            raise KeyError("a fault of our own")
+
+        rig.engines.report = fail
+        looking = asyncio.create_task(rig.maps.run())
+        while len(rounds) < 3 * SIZE and not looking.done():
+            await asyncio.sleep(0)
+        assert not looking.done()
+        looking.cancel()
+
+    run(act)
+
+
+def test_group_of_a_switch_that_failed_is_looked_at_again():
+    async def act(rig: Rig) -> None:
+        order = rig.engines.order
+
+        async def fail(*args: object) -> experts.Verdict:
+            rig.engines.order = order
+            raise KeyError("a fault of our own")
+
+        rig.engines.order = fail
+        await rig.rounds(6)
+        assert rig.engines.group.ranks[0].used[0] > 0
+
+    run(act)
+
+
 @pytest.mark.parametrize("epochs", [1, 2])
 def test_group_that_forms_anew_gets_a_map_again(epochs: int):
     async def act(rig: Rig) -> None:
