Write the rounds of switch tests once, and test the classes of passes

Change: advance, drive and assert_runs_on serve all; assertions as before (one more: three releases were lost); a test of the classes. No code changed.

--- a/testing/experts/test_switch.py
+++ b/testing/experts/test_switch.py
@@ -2,7 +2,9 @@
 """All ranks change maps at one pass, whatever becomes of the orders."""
 
 from collections.abc import Callable
+from collections.abc import Sequence
 import dataclasses
+import itertools
 import random
 
 import hypothesis
@@ -254,33 +256,65 @@
     assert switched > WALKS // 10
 
 
+#: Makes what a sender hears of an order from what became of it.
+Hearing = Callable[[experts.Order, experts.Verdict], experts.Verdict]
+
+
+def hears_all(
+    order: experts.Order, verdict: experts.Verdict
+) -> experts.Verdict:
+    del order
+    return verdict
+
+
+def advance(
+    group: model_ranks.ModelGroup,
+    switch: experts.Switch,
+    *,
+    copied: Sequence[int] = range(SIZE),
+    most: int | None = None,
+    hears: Hearing = hears_all,
+) -> int:
+    """Carry out one round of a switch.
+
+    :param copied: ranks whose copying ends by itself.
+    :param most: orders that are sent at most.
+    :returns: how many orders were sent.
+    """
+    if switch.phase is experts.Phase.COPY or switch.hold_refused:
+        for rank in copied:
+            group.ranks[rank].copied = True
+        group.begin_pass()
+        switch.copied(experts.Step(group.step))
+        switch.hold_later(experts.Step(group.step))
+        return 0
+    todo = switch.todo()[:most]
+    for rank, order in todo:
+        verdict = group.obey(rank, order, group.epoch)
+        switch.take(rank, order, hears(order, verdict))
+    return len(todo)
+
+
 def drive(
     group: model_ranks.ModelGroup,
     switch: experts.Switch,
     *,
-    deaf: int = 0,
+    copied: Sequence[int] = range(SIZE),
+    hears: Hearing = hears_all,
 ) -> None:
-    """Carry out a switch; every ``deaf``-th order gets no answer."""
-    sent = 0
+    """Carry out a switch to its end."""
     for _ in range(200):
         if switch.phase is experts.Phase.OVER:
             return
-        if switch.phase is experts.Phase.COPY or switch.hold_refused:
-            for rank in group.ranks:
-                rank.copied = True
-            group.begin_pass()
-            switch.copied(experts.Step(group.step))
-            switch.hold_later(experts.Step(group.step))
-            continue
-        for rank, order in switch.todo():
-            sent += 1
-            verdict = group.obey(rank, order, group.epoch)
-            if deaf and sent % deaf == 0:
-                verdict = experts.Verdict.UNKNOWN
-            switch.take(rank, order, verdict)
+        advance(group, switch, copied=copied, hears=hears)
     raise AssertionError(f"still in {switch.phase}")
 
 
+def assert_runs_on(group: model_ranks.ModelGroup) -> None:
+    for _ in range(5):
+        assert group.begin_pass()
+
+
 def new_switch(version: int = 5) -> experts.Switch:
     return experts.Switch(
         size=SIZE,
@@ -293,32 +327,29 @@
 
 @pytest.mark.parametrize("deaf", [0, 2, 3], ids=["heard", "half", "third"])
 def test_ranks_take_up_the_map_whatever_answers_are_lost(deaf: int) -> None:
+    answers = itertools.count(1)
+
+    def hears(
+        order: experts.Order, verdict: experts.Verdict
+    ) -> experts.Verdict:
+        del order
+        lost = deaf and next(answers) % deaf == 0
+        return experts.Verdict.UNKNOWN if lost else verdict
+
     group = model_ranks.ModelGroup(SIZE, MAPS[0])
     switch = new_switch()
-    drive(group, switch, deaf=deaf)
+    drive(group, switch, hears=hears)
     assert switch.outcome is experts.Outcome.SWITCHED
-    for _ in range(5):
-        assert group.begin_pass()
+    assert_runs_on(group)
     assert [rank.used for rank in group.ranks] == [(5, MAPS[1])] * SIZE
 
 
 def test_group_runs_on_where_one_rank_cannot_be_armed() -> None:
     group = model_ranks.ModelGroup(SIZE, MAPS[0])
     switch = new_switch()
-    while switch.phase is not experts.Phase.ARM:
-        if switch.phase is experts.Phase.COPY:
-            group.ranks[0].copied = group.ranks[1].copied = True
-            group.begin_pass()
-            switch.copied(experts.Step(group.step))
-            continue
-        for rank, order in switch.todo():
-            switch.take(rank, order, group.obey(rank, order, group.epoch))
-    for _ in range(50):
-        for rank, order in switch.todo():
-            switch.take(rank, order, group.obey(rank, order, group.epoch))
+    drive(group, switch, copied=range(SIZE - 1))
     assert switch.outcome is experts.Outcome.VOIDED
-    for _ in range(5):
-        assert group.begin_pass()
+    assert_runs_on(group)
     assert [rank.used[1] for rank in group.ranks] == [MAPS[0]] * SIZE
 
 
@@ -328,15 +359,7 @@
     switch = new_switch()
     left = sent
     while left > 0 and switch.phase is not experts.Phase.OVER:
-        if switch.phase is experts.Phase.COPY:
-            for rank in group.ranks:
-                rank.copied = True
-            group.begin_pass()
-            switch.copied(experts.Step(group.step))
-            continue
-        for rank, order in switch.todo()[:left]:
-            left -= 1
-            switch.take(rank, order, group.obey(rank, order, group.epoch))
+        left -= advance(group, switch, most=left)
     report = group.report(0)
     if report.held is not None:
         armed = [one.armed for one in group.ranks if one.armed]
@@ -350,22 +373,14 @@
             owner=experts.Owner(2),
         )
         drive(group, found)
-    for _ in range(5):
-        assert group.begin_pass()
+    assert_runs_on(group)
 
 
 def test_holder_that_wakes_after_a_successor_changes_nothing() -> None:
     group = model_ranks.ModelGroup(SIZE, MAPS[0])
     slow = new_switch()
     while slow.phase is not experts.Phase.ARM:
-        if slow.phase is experts.Phase.COPY:
-            for rank in group.ranks:
-                rank.copied = True
-            group.begin_pass()
-            slow.copied(experts.Step(group.step))
-            continue
-        for rank, order in slow.todo():
-            slow.take(rank, order, group.obey(rank, order, group.epoch))
+        advance(group, slow)
     late = slow.todo()
     found = experts.Switch.found(
         size=SIZE,
@@ -378,27 +393,24 @@
     drive(group, found)
     for rank, order in late:
         group.obey(rank, order, group.epoch)
-    for _ in range(5):
-        assert group.begin_pass()
+    assert_runs_on(group)
 
 
 def test_pass_is_released_though_the_first_release_gets_no_answer() -> None:
+    lost: list[experts.Order] = []
     group = model_ranks.ModelGroup(SIZE, MAPS[0])
     switch = new_switch()
-    lost = 0
     while switch.phase is not experts.Phase.OVER:
-        if switch.phase is experts.Phase.COPY:
-            for rank in group.ranks:
-                rank.copied = True
-            group.begin_pass()
-            switch.copied(experts.Step(group.step))
-            continue
-        for rank, order in switch.todo():
-            if isinstance(order, experts.Release) and lost < 3:
-                lost += 1
+        todo = switch.todo()
+        releases = [one for _, one in todo if isinstance(one, experts.Release)]
+        if releases and len(lost) < 3:
+            # Lost on its way: the rank never hears of it.
+            lost += releases
+            for rank, order in todo:
                 switch.take(rank, order, experts.Verdict.UNKNOWN)
-                continue
-            switch.take(rank, order, group.obey(rank, order, group.epoch))
+            continue
+        advance(group, switch)
+    assert len(lost) == 3
     assert not group.held
     assert group.begin_pass()
 
@@ -426,3 +438,13 @@
     assert switch.phase is experts.Phase.OVER
     assert switch.outcome is experts.Outcome.LEFT
     assert group.begin_pass()
+
+
+@pytest.mark.parametrize("after", range(6))
+def test_processes_of_unlike_classes_never_hold_one_pass(after: int) -> None:
+    steps = [
+        experts.Owner(number).step(experts.Step(after))
+        for number in range(STEP_CLASSES)
+    ]
+    assert len(set(steps)) == STEP_CLASSES
+    assert min(steps) > after
