--- a/src/lugcross/cli/standin.py
+++ b/src/lugcross/cli/standin.py
@@ -50,8 +50,7 @@
 @click.pass_obj
 def log(place: _Place, rate: float, retention: float) -> None:
     """Run the platform's append-only log."""
-    app = standin_lib.LogStandin(rate=rate, retention_s=retention)
-    place.run(app, app_lib.Hook(name="reads", drain=app.close))
+    place.run(standin_lib.LogStandin(rate=rate, retention_s=retention))
 
 
 @standin.command()
--- a/src/lugcross/standin/log.py
+++ b/src/lugcross/standin/log.py
@@ -59,7 +59,6 @@
         self._refilled = time.monotonic()
         self._streams: dict[str, _Stream] = {}
         self._changed = threading.Condition()
-        self._closed = False
         self.appends = 0
         self.reads = 0
 
@@ -84,12 +83,6 @@
             self._changed.notify_all()
             return stream.end - 1
 
-    def close(self) -> None:
-        """Answer all reads that wait: the server's stop waits for them."""
-        with self._changed:
-            self._closed = True
-            self._changed.notify_all()
-
     def expire(self, name: str, *, before: int) -> None:
         """Drop the records of a stream before an offset, as age would."""
         with self._changed:
@@ -129,8 +122,7 @@
             self.reads += 1
             stream = self._streams.setdefault(name, _Stream())
             self._changed.wait_for(
-                lambda: self._closed or stream.end > start,
-                float(query.get("wait", "0")),
+                lambda: stream.end > start, float(query.get("wait", "0"))
             )
             stream.expire(time.monotonic() - self._retention_s)
             if start < stream.first:
