Give orders about expert maps under a numbered lease

Cause: the new customer's engines refuse orders with a lower number than they have seen, and a duty is held by whoever has the newest; no order carried a number, so that a frozen holder's late orders were kept out only by what the orders themselves say.

Change: experts.lease (pure) decides when to read, claim, renew and release a record in a topic of our own, written only where the log ends as it was read; edge.duty drives it; each order carries the number; who is refused, or hears of a higher number, gives no further order. Passes are named by the number: of two classes where it were four. Without fences all stays as it was.

--- a/src/lugcross/edge/app.py
+++ b/src/lugcross/edge/app.py
@@ -16,6 +16,7 @@
 from lugcross import address
 from lugcross import clock as clock_lib
 from lugcross import desired
+from lugcross.edge import duty as duty_lib
 from lugcross.edge import engines as engines_lib
 from lugcross.edge import figures as figures_lib
 from lugcross.edge import follow
@@ -102,18 +103,27 @@
         pool = self.world.pool
         reports = engines_lib.Caller(pool, answer_s=engines_lib.REPORT_S)
         orders = engines_lib.Caller(pool, answer_s=engines_lib.ORDER_S)
+        self._duty = duty_lib.Duty(
+            experts.Lease(self.knowledge.incarnation, clock),
+            self._store,
+            self.knowledge,
+            fenced=lambda: self.world.bounds.fenced,
+        )
         self._maps = maps_lib.Maps(
             self.world,
             platform.Engines(reports.exchange, orders.exchange),
             clock=clock,
             sleep=asyncio.sleep,
-            mine=self.knowledge.has_duty,
+            duty=self._duty,
             owner=experts.Owner(rng.getrandbits(_OWNER_BITS)),
             changed=self.knowledge.peers.changed,
             node=settings.node,
             cfg=settings.maps,
         )
+        self._duty.busy = self._maps.is_busy
         self.knowledge.unfit = self._maps.is_stuck
+        self.knowledge.generation = self._duty.generation
+        self.knowledge.heard_generation = self._duty.heard
         self.knowledge.seen_broken = self._maps.seen_broken
         self._conns: set[http1.ServerConn] = set()
         self._leaving_since: clock_lib.Instant | None = None
@@ -192,6 +202,7 @@
             desired_follower.run(),
             backends_follower.run(),
             known.run(),
+            self._duty.run(),
             self._maps.run(),
             self._sweep(),
         ]
--- a/src/lugcross/edge/knowledge.py
+++ b/src/lugcross/edge/knowledge.py
@@ -33,7 +33,8 @@
 #: gone; two of its heartbeats, so that a dead one's pass is not held long.
 _DUTY_SILENT = datetime.timedelta(seconds=1.1)
 #: Time after a start in which a process leaves the duty to others: it has
-#: not heard of all of them yet.
+#: not heard of all of them yet. A lease needs no such time: one process
+#: gets it, whoever else tries.
 _DUTY_AFTER = datetime.timedelta(seconds=2)
 #: Time between two tries to register while the store is away, seconds.
 _REGISTER_S = 2.0
@@ -61,6 +62,12 @@
         self._since_ms = int(clock.now().timestamp() * 1000)
         #: Whether this process cannot look after expert maps for now.
         self.unfit: Callable[[], bool] = lambda: False
+        #: Number of this process's lease of expert maps, if it has one.
+        self.generation: Callable[[], experts.Generation | None] = lambda: None
+        #: Called with the number of a peer's lease.
+        self.heard_generation: Callable[[experts.Generation], None] = (
+            lambda number: None
+        )
         #: Backend servers that this process has seen in broken groups.
         self.seen_broken: Callable[[], list[desired.BackendKey]] = list
         self.trouble = follow.Trouble(clock)
@@ -102,19 +109,39 @@
         self.peers.tell_now()
         self._server.close()
 
-    def has_duty(self) -> bool:
-        """Tell whether this process looks after expert maps."""
-        if self._clock.monotonic() - self._begun < _DUTY_AFTER:
+    @property
+    def incarnation(self) -> str:
+        """Drawn anew at each start of a process."""
+        return self._incarnation
+
+    def fit(self) -> bool:
+        """Tell whether this process may look after expert maps."""
+        return not self._leaving and not self.unfit()
+
+    def first(self) -> bool:
+        """Tell whether it runs longest of those that may."""
+        age = self._clock.monotonic() - self._begun
+        if age < _DUTY_AFTER and not self._world.bounds.fenced:
             return False
         claims = [
-            experts.Claim(peer.beat.since_ms, peer.beat.incarnation)
-            for peer in self.peers.live(_DUTY_SILENT)
-            if peer.beat and peer.beat.since_ms and not peer.beat.leaving
+            experts.Claim(beat.since_ms, beat.incarnation)
+            for beat in self._live_beats()
+            if beat.since_ms
         ]
         own = experts.Claim(self._since_ms, self._incarnation)
-        if not self._leaving and not self.unfit():
-            claims.append(own)
-        return experts.holder(claims) == own
+        return experts.holder([*claims, own]) == own
+
+    def held_elsewhere(self) -> bool:
+        """Tell whether a live peer has the lease of expert maps."""
+        return any(beat.generation for beat in self._live_beats())
+
+    def _live_beats(self) -> list[peers_lib.Beat]:
+        """Return the newest news of peers that may have the duty."""
+        return [
+            peer.beat
+            for peer in self.peers.live(_DUTY_SILENT)
+            if peer.beat and not peer.beat.leaving
+        ]
 
     def take_desired(self, tail: platform.Tail, newest: bool) -> None:
         """Take over records of the operator."""
@@ -160,6 +187,7 @@
             known=known,
             since_ms=0 if self.unfit() else self._since_ms,
             broken=[str(key) for key in self.seen_broken()],
+            generation=self.generation() or 0,
         )
 
     def _heard(self, peer: peers_lib.Peer) -> None:
@@ -173,6 +201,7 @@
         self._world.loads.peer_told(beat.node, running)
         broken = [desired.BackendKey(key) for key in beat.broken]
         self._world.outages.told(beat.node, broken)
+        self.heard_generation(experts.Generation(beat.generation))
 
     def _answer(self, ask: peers_lib.Ask) -> peers_lib.State:
         state = self._world.desired
--- a/src/lugcross/edge/maps.py
+++ b/src/lugcross/edge/maps.py
@@ -12,6 +12,7 @@
 
 from lugcross import clock as clock_lib
 from lugcross import desired
+from lugcross.edge import duty as duty_lib
 from lugcross.edge import groups as groups_lib
 from lugcross.edge import settings as settings_lib
 from lugcross.edge import sight as sight_lib
@@ -50,7 +51,7 @@
 
     :param engines: reaches the ranks.
     :param sleep: waits for some seconds.
-    :param mine: tells whether this process has the duty.
+    :param duty: tells whether they are this process's to look after.
     :param owner: chooses versions and passes for this process.
     :param changed: called when a group has broken or formed anew.
     :param node: name of this process's host.
@@ -64,7 +65,7 @@
         *,
         clock: clock_lib.Clock,
         sleep: switching.Sleep,
-        mine: Callable[[], bool],
+        duty: duty_lib.Duty,
         owner: experts.Owner,
         changed: Callable[[], None],
         node: str,
@@ -75,7 +76,7 @@
         self._node = node
         self._world = world
         self._clock = clock
-        self._mine = mine
+        self._duty = duty
         self._owner = owner
         self._engines = engines
         self._sleep = sleep
@@ -118,6 +119,10 @@
         self._sight.clear()
         logging.info("duty of expert maps", extra={"mine": mine})
 
+    def is_busy(self) -> bool:
+        """Tell whether a switch is under way."""
+        return bool(self._tasks)
+
     async def idle(self) -> None:
         """Return once no switch is under way."""
         while self._tasks:
@@ -125,7 +130,7 @@
 
     async def round(self) -> None:
         """Look once at all that is due."""
-        self._note_duty(self._mine())
+        self._note_duty(self._duty.mine())
         if self._had:
             await self._look_at_all()
         self._world.outages.told(self._node, self.seen_broken())
@@ -348,8 +353,11 @@
         switch: experts.Switch,
         plan: experts.Plan | None,
     ) -> None:
+        generation = self._duty.generation()
+        if generation is not None:
+            self._owner.take_turn(generation)
         driver = switching.Driver(
-            self._engines, group, self._clock, self._sleep
+            self._engines, group, self._duty, self._clock, self._sleep
         )
         finished = await driver.run(switch, plan.copies if plan else 0)
         if not finished:
--- a/src/lugcross/edge/peers.py
+++ b/src/lugcross/edge/peers.py
@@ -53,6 +53,7 @@
     :param since_ms: when it started, by its time of day, if it can look
         after expert maps; 0 if it cannot now.
     :param broken: backend servers that it has seen in broken groups.
+    :param generation: number of its lease of expert maps; 0 without one.
     """
 
     node: str
@@ -66,6 +67,7 @@
     known: list[str]
     since_ms: int = 0
     broken: list[str] = []
+    generation: int = 0
 
 
 @final
--- a/src/lugcross/edge/settings.py
+++ b/src/lugcross/edge/settings.py
@@ -61,6 +61,7 @@
         requests, within ``repeat_window_s`` seconds.
     :param repeat_slack: repeats allowed beyond, all processes together.
     :param contact_ms: time after which the store counts as sound again.
+    :param fenced: whether engines refuse orders of an earlier holder.
     """
 
     grace_s: float
@@ -70,6 +71,7 @@
     repeat_window_s: float
     repeat_slack: float
     contact_ms: float
+    fenced: bool = False
 
     @property
     def grace(self) -> datetime.timedelta:
--- a/src/lugcross/edge/switching.py
+++ b/src/lugcross/edge/switching.py
@@ -11,6 +11,7 @@
 
 from lugcross import clock as clock_lib
 from lugcross import desired
+from lugcross.edge import duty as duty_lib
 from lugcross.edge import groups as groups_lib
 from lugcross import experts
 from lugcross import platform
@@ -36,15 +37,21 @@
 
 @final
 class Driver:
-    """Carries out what a switch asks for."""
+    """Carries out what a switch asks for.
+
+    :param duty: under whose number all orders are given.
+    """
 
     def __init__(
         self,
         engines: platform.Engines,
         group: groups_lib.Group,
+        duty: duty_lib.Duty,
         clock: clock_lib.Clock,
         sleep: Sleep,
     ) -> None:
+        self._duty = duty
+        self._generation = duty.generation()
         self._sleep = sleep
         self._engines = engines
         self._group = group
@@ -60,7 +67,7 @@
         copied = since + datetime.timedelta(seconds=copying * _COPY_MORE)
         while switch.phase is not experts.Phase.OVER:
             now = self._clock.monotonic()
-            if now - copied > _GIVE_UP:
+            if now - copied > _GIVE_UP or not self._may_order():
                 return False
             late = now - copied > _LEAVE
             if not switch.holds and (late or not self._group.is_open):
@@ -96,6 +103,9 @@
     def _first(self) -> desired.Backend:
         return self._group.members[experts.Rank(0)]
 
+    def _may_order(self) -> bool:
+        return self._duty.may_order(self._generation)
+
     async def _send_all(self, switch: experts.Switch) -> None:
         todo = switch.todo()
         verdicts = await asyncio.gather(
@@ -105,6 +115,8 @@
             switch.take(rank, order, verdict)
         if all(one is experts.Verdict.DONE for one in verdicts):
             return
+        if experts.Verdict.FENCED in verdicts:
+            return
         if experts.Verdict.REFUSED in verdicts:
             await self._check_epoch(switch)
         await self._sleep(_AGAIN_S)
@@ -115,7 +127,12 @@
         backend = self._group.members.get(rank)
         if backend is None:
             return experts.Verdict.UNKNOWN
-        return await self._engines.order(backend, order, self._group.epoch)
+        verdict = await self._engines.order(
+            backend, order, self._group.epoch, self._generation
+        )
+        if verdict is experts.Verdict.FENCED and self._generation is not None:
+            self._duty.refused(self._generation)
+        return verdict
 
     async def _check_epoch(self, switch: experts.Switch) -> None:
         try:
--- a/src/lugcross/errors.py
+++ b/src/lugcross/errors.py
@@ -55,6 +55,10 @@
     """The log refused an append because of its rate; nothing was kept."""
 
 
+class AppendConflictError(PlatformError):
+    """An append whose condition does not hold: another one came first."""
+
+
 class AppendUnknownError(PlatformError):
     """An append without a clear answer: it may have taken effect."""
 
@@ -147,6 +151,7 @@
 
 
 __all__ = [
+    "AppendConflictError",
     "AppendUnknownError",
     "ChangeError",
     "FrameError",
--- a/src/lugcross/experts/__init__.py
+++ b/src/lugcross/experts/__init__.py
@@ -6,6 +6,10 @@
 from lugcross.experts.demand import shaped
 from lugcross.experts.duty import Claim
 from lugcross.experts.duty import holder
+from lugcross.experts.lease import Generation
+from lugcross.experts.lease import Lease
+from lugcross.experts.lease import Move
+from lugcross.experts.lease import Record
 from lugcross.experts.model import dealt_out
 from lugcross.experts.model import Demand
 from lugcross.experts.model import ExpertMap
@@ -41,9 +45,12 @@
     "Disarm",
     "Epoch",
     "ExpertMap",
+    "Generation",
     "Hold",
+    "Lease",
     "Limits",
     "MapVersion",
+    "Move",
     "Order",
     "Outcome",
     "Owner",
@@ -52,6 +59,7 @@
     "Prepare",
     "Rank",
     "RankExperts",
+    "Record",
     "Release",
     "Report",
     "Step",
--- a/src/lugcross/experts/orders.py
+++ b/src/lugcross/experts/orders.py
@@ -6,6 +6,7 @@
 from typing import final
 from typing import NewType
 
+from lugcross.experts import lease
 from lugcross.experts import model
 
 #: Number of a rank within its group, from 0.
@@ -67,11 +68,13 @@
     """What became of an order.
 
     An ``UNKNOWN`` one may have been carried out, or may be seconds later.
+    One is ``FENCED`` where the rank has had orders of a later holder.
     """
 
     DONE = "done"
     REFUSED = "refused"
     UNKNOWN = "unknown"
+    FENCED = "fenced"
 
 
 @final
@@ -111,6 +114,9 @@
 #: Processes hold passes of this many classes, by their number, so that one
 #: rarely holds, and so never releases, the pass that another holds.
 _STEP_CLASSES = 4
+#: The same where leases are numbered: two holders in a row never hold the
+#: same pass, and what the one before them sends is refused.
+_LEASE_CLASSES = 2
 
 
 @final
@@ -123,6 +129,13 @@
     def __init__(self, number: int) -> None:
         self._number = number & ((1 << _OWNER_BITS) - 1)
         self._chosen = MapVersion(0)
+        self._classes = _STEP_CLASSES
+        self._class = self._number
+
+    def take_turn(self, generation: lease.Generation) -> None:
+        """Choose passes by the number of a lease from now on."""
+        self._classes = _LEASE_CLASSES
+        self._class = generation
 
     def version(self, newest: MapVersion) -> MapVersion:
         """Return a version above ``newest`` that was never chosen before.
@@ -136,5 +149,5 @@
 
     def step(self, after: Step) -> Step:
         """Return the next pass past ``after`` that this process holds."""
-        ahead = (self._number - after - 1) % _STEP_CLASSES
+        ahead = (self._class - after - 1) % self._classes
         return Step(after + 1 + ahead)
--- a/src/lugcross/experts/switch.py
+++ b/src/lugcross/experts/switch.py
@@ -192,6 +192,10 @@
         Orders of one round are answered in any order; what an earlier
         answer has made needless is left out.
         """
+        if verdict is orders.Verdict.FENCED:
+            # A later holder is at work; it finishes what this one left.
+            self._end(Outcome.LEFT)
+            return
         if (rank, order) not in self.todo():
             return
         if self.phase is Phase.PREPARE:
--- a/src/lugcross/platform/__init__.py
+++ b/src/lugcross/platform/__init__.py
@@ -18,6 +18,7 @@
 from lugcross.platform.names import RETRY_AFTER
 from lugcross.platform.state import BACKENDS_TOPIC
 from lugcross.platform.state import DESIRED_KEY
+from lugcross.platform.state import LEASES_TOPIC
 from lugcross.platform.state import NODES_TOPIC
 from lugcross.platform.state import OPERATOR_TOPIC
 from lugcross.platform.state import read_backend
@@ -30,6 +31,7 @@
     "ATTEMPT_ID",
     "BACKENDS_TOPIC",
     "DESIRED_KEY",
+    "LEASES_TOPIC",
     "NODES_TOPIC",
     "OPERATOR_TOPIC",
     "PROMISES",
--- a/src/lugcross/platform/engines.py
+++ b/src/lugcross/platform/engines.py
@@ -158,9 +158,17 @@
         backend: desired.Backend,
         order: experts.Order,
         epoch: experts.Epoch,
+        generation: experts.Generation | None,
     ) -> experts.Verdict:
-        """Give an order that counts in ``epoch`` only."""
-        body = msgspec.json.encode({**_fields(order), "epoch": epoch})
+        """Give an order that counts in ``epoch`` only.
+
+        :param generation: number of the lease that it is given under;
+            none where engines don't check it.
+        """
+        fields = {**_fields(order), "epoch": epoch}
+        if generation is not None:
+            fields["fence"] = generation
+        body = msgspec.json.encode(fields)
         try:
             status, _ = await self._give(backend, "POST", _ORDER, body)
         except http1.BrokenError:
@@ -172,6 +180,8 @@
             return experts.Verdict.DONE
         if status == http.HTTPStatus.CONFLICT:
             return experts.Verdict.REFUSED
+        if status == http.HTTPStatus.PRECONDITION_FAILED:
+            return experts.Verdict.FENCED
         return experts.Verdict.UNKNOWN
 
     async def _get(
--- a/src/lugcross/platform/state.py
+++ b/src/lugcross/platform/state.py
@@ -22,6 +22,8 @@
 DESIRED_KEY = "config"
 #: Topic of the system's own, where each process tells its address.
 NODES_TOPIC = "keyed.lugcross.nodes"
+#: Topic of the system's own, with the lease of each duty.
+LEASES_TOPIC = "keyed.lugcross.leases"
 
 _KINDS = {
     "safe": desired.Kind.SAFE,
--- a/src/lugcross/platform/store.py
+++ b/src/lugcross/platform/store.py
@@ -53,6 +53,10 @@
     offset: int
 
 
+class _Appended(msgspec.Struct, frozen=True):
+    end: int
+
+
 class _Page(msgspec.Struct, frozen=True):
     items: list[_Item]
     has_more: bool
@@ -125,18 +129,47 @@
 
         :raises errors.AppendUnknownError: it may have been kept.
         """
+        await self._append(topic, key, value, {})
+
+    async def put_at(
+        self, topic: str, key: str, value: bytes, end: ids.Offset
+    ) -> ids.Offset:
+        """Append one record if the topic ends at ``end``.
+
+        :returns: where the topic ends now.
+        :raises errors.AppendConflictError: when it ends elsewhere.
+        :raises errors.AppendUnknownError: it may have been kept, or may
+            be yet.
+        """
+        condition = {"current_rev": str(end)}
+        body = await self._append(topic, key, value, condition)
+        try:
+            appended = msgspec.json.decode(body, type=_Appended)
+        except msgspec.DecodeError as exc:
+            raise _append_unknown(f"bad answer: {exc}") from exc
+        return ids.Offset(appended.end)
+
+    async def _append(
+        self, topic: str, key: str, value: bytes, condition: dict[str, str]
+    ) -> bytes:
         name = key.encode()
         rest = bytes((len(name),)) + name + value
         record = _WORD.pack(len(rest)) + rest
-        query = {"topic": topic, "part": "0"}
+        query = {"topic": topic, "part": "0", **condition}
         try:
-            status, _ = await self._call(
+            status, body = await self._call(
                 "POST", "/log-append", query, body=record
             )
         except errors.LogUnavailableError as exc:
             raise _append_unknown(str(exc)) from exc
+        if status == http.HTTPStatus.PRECONDITION_FAILED:
+            raise errors.AppendConflictError(
+                f"topic {topic} does not end where it was read",
+                remedy="read it again",
+            )
         if status != http.HTTPStatus.OK:
             raise _append_unknown(f"status {status}")
+        return body
 
     def close(self) -> None:
         """Close the connections."""
--- a/src/lugcross/standin/store.py
+++ b/src/lugcross/standin/store.py
@@ -164,6 +164,9 @@
     ) -> tuple[http.HTTPStatus, bytes]:
         topic = self._topic(query["topic"])
         first = topic.end
+        if int(query.get("current_rev", first)) != first:
+            body = json.dumps({"end": first}).encode()
+            return http.HTTPStatus.PRECONDITION_FAILED, body
         at = 0
         while at < len(body):
             (size,) = _WORD.unpack_from(body, at)
--- a/testing/edge/test_maps.py
+++ b/testing/edge/test_maps.py
@@ -42,6 +42,7 @@
         self.silent: set[int] = set()
         self.deaf: set[int] = set()
         self.orders: list[experts.Order] = []
+        self.generations: list[experts.Generation | None] = []
 
     def passed(self, seconds: float) -> None:
         """Go on for a while, under load."""
@@ -86,12 +87,36 @@
         backend: desired.Backend,
         order: experts.Order,
         epoch: experts.Epoch,
+        generation: experts.Generation | None,
     ) -> experts.Verdict:
         self.orders.append(order)
+        self.generations.append(generation)
         rank = int(backend.key)
         if rank in self.silent or rank in self.deaf:
             return experts.Verdict.UNKNOWN
-        return self.group.obey(rank, order, epoch)
+        return self.group.obey(rank, order, epoch, generation)
+
+
+class Duty:
+    """A duty that a test gives and takes away."""
+
+    def __init__(self) -> None:
+        self.has = True
+        self.number: experts.Generation | None = None
+        self.spent: list[experts.Generation] = []
+
+    def mine(self) -> bool:
+        return self.has
+
+    def generation(self) -> experts.Generation | None:
+        return self.number
+
+    def may_order(self, number: experts.Generation | None) -> bool:
+        return number == self.number and number not in self.spent
+
+    def refused(self, number: experts.Generation) -> None:
+        self.spent.append(number)
+        self.has = False
 
 
 class Rig:
@@ -112,14 +137,14 @@
         self.world = world_lib.World(
             settings, clock=self.clock, rng=edge_rig.new_rng()
         )
-        self.mine = True
+        self.duty = Duty()
         self.news = 0
         self.maps = maps_lib.Maps(
             self.world,
             self.engines,
             clock=self.clock,
             sleep=self._sleep,
-            mine=lambda: self.mine,
+            duty=self.duty,
             owner=experts.Owner(1),
             changed=self._changed,
             node="n1",
@@ -191,7 +216,7 @@
 
 def test_process_without_the_duty_asks_and_orders_nothing():
     async def act(rig: Rig) -> None:
-        rig.mine = False
+        rig.duty.has = False
         await rig.rounds(5)
         assert not rig.engines.orders
         assert rig.engines.group.ranks[0].used == (0, FIRST)
@@ -304,7 +329,7 @@
     async def act(rig: Rig) -> None:
         rig.engines.is_open = False
         await rig.rounds(2)
-        rig.mine = False
+        rig.duty.has = False
         await rig.rounds(1)
         assert not rig.maps.seen_broken()
         assert len(rig.world.serving(SERVICE)) == SIZE
@@ -369,3 +394,45 @@
         assert rig.engines.group.ranks[0].used[0] > 0
 
     run(act)
+
+
+def test_every_order_carries_the_number_of_the_lease():
+    async def act(rig: Rig) -> None:
+        rig.duty.number = experts.Generation(4)
+        await rig.rounds(5)
+        assert rig.engines.orders
+        assert set(rig.engines.generations) == {4}
+        assert rig.engines.group.ranks[0].used[0] > 0
+
+    run(act)
+
+
+def test_refused_holder_stops_at_once_and_for_good():
+    async def act(rig: Rig) -> None:
+        rig.duty.number = experts.Generation(4)
+        for rank in rig.engines.group.ranks:
+            rank.fence = 5
+        await rig.rounds(5)
+        assert rig.duty.spent
+        # The one round of orders that was refused.
+        assert len(rig.engines.orders) == SIZE
+        assert rig.engines.group.ranks[0].used == (0, FIRST)
+
+    run(act)
+
+
+def test_holder_whose_lease_goes_during_a_switch_gives_no_further_order():
+    async def act(rig: Rig) -> None:
+        rig.duty.number = experts.Generation(4)
+        order = rig.engines.order
+
+        async def taken(*args: object) -> experts.Verdict:
+            rig.duty.number = None
+            return await order(*args)
+
+        rig.engines.order = taken
+        await rig.rounds(4)
+        assert len(rig.engines.orders) == SIZE
+        assert rig.maps.is_stuck()
+
+    run(act)
--- a/testing/experts/test_switch.py
+++ b/testing/experts/test_switch.py
@@ -37,6 +37,8 @@
     """A process that believes that maps are its duty.
 
     :param waits: orders of the round whose answers it still waits for.
+    :param generation: number of its lease, where ranks check it; it may
+        have been superseded without its knowing.
     """
 
     index: int
@@ -45,6 +47,7 @@
     switch: experts.Switch | None = None
     epoch: int = 0
     waits: int = 0
+    generation: int | None = None
 
 
 @dataclasses.dataclass
@@ -57,6 +60,7 @@
     sender: Holder | None
     switch: experts.Switch | None
     life: tuple[int, int]
+    generation: int | None
 
 
 def _number(index: int, life: int) -> int:
@@ -72,7 +76,9 @@
     Each method is one event; ``pick`` chooses among those that it is about.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, fenced: bool = False) -> None:
+        self.fenced = fenced
+        self.claims = 0
         self.group = model_ranks.ModelGroup(SIZE, MAPS[0])
         self.holders = [
             Holder(num, experts.Owner(_number(num, 0)))
@@ -84,9 +90,21 @@
     def _holder(self, pick: int) -> Holder:
         return self.holders[pick % OWNERS]
 
+    def claim(self, pick: int) -> None:
+        """Take the lease, whoever has it; that one is not told."""
+        holder = self._holder(pick)
+        if self.fenced and holder.switch is None:
+            self.claims += 1
+            holder.generation = self.claims
+            holder.owner.take_turn(experts.Generation(self.claims))
+
+    def _may_begin(self, holder: Holder) -> bool:
+        rests = self.fenced and holder.generation is None
+        return holder.switch is None and not rests
+
     def start(self, pick: int) -> None:
         holder = self._holder(pick)
-        if holder.switch is not None or self.old[0].held is not None:
+        if not self._may_begin(holder) or self.old[0].held is not None:
             return
         newest = max(report.newest for report in self.old)
         self._begin(
@@ -104,7 +122,7 @@
     def finish_what_is_held(self, pick: int) -> None:
         holder = self._holder(pick)
         held = self.old[0].held
-        if holder.switch is not None or held is None:
+        if not self._may_begin(holder) or held is None:
             return
         armed = [
             one.armed.version
@@ -147,7 +165,15 @@
             life = holder.index, holder.life
             holder.waits = len(todo)
             self.flying += [
-                Flying(rank, order, holder.epoch, holder, switch, life)
+                Flying(
+                    rank,
+                    order,
+                    holder.epoch,
+                    holder,
+                    switch,
+                    life,
+                    holder.generation,
+                )
                 for rank, order in todo
             ]
 
@@ -161,7 +187,9 @@
         if not self.flying:
             return
         one = self.flying.pop(pick % len(self.flying))
-        verdict = self.group.obey(one.rank, one.order, one.epoch)
+        verdict = self.group.obey(
+            one.rank, one.order, one.epoch, one.generation
+        )
         self._tell(one, verdict if heard else experts.Verdict.UNKNOWN)
 
     def time_out(self, pick: int) -> None:
@@ -179,6 +207,9 @@
         assert holder.switch is not None
         holder.waits -= 1
         holder.switch.take(one.rank, one.order, verdict)
+        if verdict is experts.Verdict.FENCED:
+            assert holder.switch.phase is experts.Phase.OVER
+            holder.generation = None
 
     def die(self, pick: int) -> None:
         holder = self._holder(pick)
@@ -190,6 +221,7 @@
             if one.life != (holder.index, holder.life - 1)
         ]
         holder.life += 1
+        holder.generation = None
         holder.owner = experts.Owner(_number(holder.index, holder.life))
 
     def copy(self, pick: int) -> None:
@@ -221,9 +253,14 @@
     Fleet.look: 4.0,
     Fleet.pass_begins: 4.0,
     Fleet.form_anew: 0.05,
+    Fleet.claim: 0.2,
 }
+FENCES = pytest.mark.parametrize(
+    "fenced", [False, True], ids=["unchecked", "fenced"]
+)
 
 
+@FENCES
 @hypothesis.settings(max_examples=60)
 @hypothesis.given(
     events=st.lists(
@@ -231,14 +268,19 @@
         max_size=400,
     )
 )
-def test_no_pass_begins_with_two_maps(events: list[Event]) -> None:
-    fleet = Fleet()
+def test_no_pass_begins_with_two_maps(
+    events: list[Event], fenced: bool
+) -> None:
+    fleet = Fleet(fenced=fenced)
     for event, pick in events:
         event(fleet, pick)
 
 
+@FENCES
 @pytest.mark.parametrize("seed", range(12))
-def test_no_pass_begins_with_two_maps_in_long_walks(seed: int) -> None:
+def test_no_pass_begins_with_two_maps_in_long_walks(
+    seed: int, fenced: bool
+) -> None:
     """Chosen as traffic goes rather than evenly: these get far.
 
     Each guard of the switch was removed in turn, and this test failed.
@@ -248,7 +290,7 @@
     weights = list(WEIGHTS.values())
     switched = 0
     for _ in range(WALKS):
-        fleet = Fleet()
+        fleet = Fleet(fenced=fenced)
         for event in rng.choices(events, weights, k=STEPS):
             event(fleet, rng.randrange(60))
         switched += fleet.group.ranks[0].used[0] > 0
@@ -448,3 +490,28 @@
     ]
     assert len(set(steps)) == STEP_CLASSES
     assert min(steps) > after
+
+
+@pytest.mark.parametrize("after", range(6))
+def test_holders_in_a_row_never_hold_one_pass(after: int) -> None:
+    steps = []
+    for generation in (7, 8):
+        owner = experts.Owner(3)
+        owner.take_turn(experts.Generation(generation))
+        steps.append(owner.step(experts.Step(after)))
+    assert len(set(steps)) == 2
+    assert min(steps) == after + 1
+
+
+def test_superseded_holder_gives_no_further_order() -> None:
+    group = model_ranks.ModelGroup(SIZE, MAPS[0])
+    slow = new_switch()
+    while slow.phase is not experts.Phase.ARM:
+        advance(group, slow)
+    for rank in range(SIZE):
+        group.ranks[rank].fence = 2
+    (rank, order), *_ = slow.todo()
+    slow.take(rank, order, group.obey(rank, order, group.epoch, 1))
+    assert slow.phase is experts.Phase.OVER
+    assert not slow.todo()
+    assert not group.ranks[rank].armed
--- a/testing/platform/test_engines.py
+++ b/testing/platform/test_engines.py
@@ -162,18 +162,27 @@
 )
 def test_order_names_its_epoch(order: experts.Order, body: dict[str, object]):
     asked, wire = engines({})
-    asyncio.run(asked.order(BACKEND, order, experts.Epoch(4)))
+    asyncio.run(asked.order(BACKEND, order, experts.Epoch(4), None))
     method, target, sent = wire.asked[0]
     assert (method, target) == ("POST", "/order")
     assert json.loads(sent) == {**body, "epoch": 4}
 
 
+def test_order_carries_the_number_of_the_lease():
+    asked, wire = engines({})
+    order = experts.Hold(experts.Step(1))
+    number = experts.Generation(7)
+    asyncio.run(asked.order(BACKEND, order, experts.Epoch(4), number))
+    assert json.loads(wire.asked[0][2])["fence"] == 7
+
+
 @pytest.mark.parametrize(
     ("status", "answer", "verdict"),
     [
         (200, {}, experts.Verdict.DONE),
         (202, {}, experts.Verdict.DONE),
         (409, {}, experts.Verdict.REFUSED),
+        (412, {}, experts.Verdict.FENCED),
         (503, {}, experts.Verdict.UNKNOWN),
         (200, http1.BrokenError("cut", remedy=""), experts.Verdict.UNKNOWN),
         (
@@ -182,12 +191,12 @@
             experts.Verdict.UNKNOWN,
         ),
     ],
-    ids=["holds", "begun", "conflict", "away", "cut", "unreached"],
+    ids=["holds", "begun", "conflict", "fenced", "away", "cut", "unreached"],
 )
 def test_answer_to_an_order_tells_what_became_of_it(
     status: int, answer: object, verdict: experts.Verdict
 ):
     asked, _ = engines(answer, status)
     order = experts.Hold(experts.Step(1))
-    found = asyncio.run(asked.order(BACKEND, order, experts.Epoch(1)))
+    found = asyncio.run(asked.order(BACKEND, order, experts.Epoch(1), None))
     assert found is verdict
--- a/testing/platform/test_store.py
+++ b/testing/platform/test_store.py
@@ -114,3 +114,24 @@
         return first == client._idle
 
     assert _play(act)
+
+
+def test_conditional_write_counts_only_at_the_end_that_it_names():
+    async def act(store, client):
+        end = await client.put_at(TOPIC, "a", b"1", ids.Offset(0))
+        with pytest.raises(errors.AppendConflictError):
+            await client.put_at(TOPIC, "a", b"2", ids.Offset(0))
+        return end, await client.newest(TOPIC)
+
+    end, tail = _play(act)
+    assert end == 1
+    assert [record.value for record in tail.records] == [b"1"]
+
+
+def test_conditional_write_to_a_busy_store_is_unclear():
+    async def act(store, client):
+        store.busy = True
+        with pytest.raises(errors.AppendUnknownError):
+            await client.put_at(TOPIC, "a", b"1", ids.Offset(0))
+
+    _play(act)
--- a/testing/support/model_ranks.py
+++ b/testing/support/model_ranks.py
@@ -25,6 +25,7 @@
     copied: bool = False
     armed: experts.Arm | None = None
     held: int | None = None
+    fence: int = 0
 
     def obey(self, order: experts.Order, step: int) -> experts.Verdict:
         """Carry out an order; ``step`` is the pass that began last."""
@@ -99,12 +100,21 @@
         self.ranks = [ModelRank((0, self._first)) for _ in range(self.size)]
 
     def obey(
-        self, rank: int, order: experts.Order, epoch: int
+        self,
+        rank: int,
+        order: experts.Order,
+        epoch: int,
+        generation: int | None = None,
     ) -> experts.Verdict:
         """Carry out an order at one rank."""
+        one = self.ranks[rank]
+        if generation is not None:
+            if generation < one.fence:
+                return experts.Verdict.FENCED
+            one.fence = generation
         if epoch != self.epoch:
             return experts.Verdict.REFUSED
-        return self.ranks[rank].obey(order, self.step)
+        return one.obey(order, self.step)
 
     @property
     def held(self) -> bool:
