Name the pass at which maps change by how old reports are

Hypothesis: from the moment that experts are copied until the new map is in force, five to eight passes went by, 0.4 to 0.9 s where a jump of demand had made passes 80 to 200 ms long. Reports are 200 ms old, which the desired state tells: two or three such passes.

Change: a group learns what its passes take from the pauses of this process's own streams (edge.pulse), and the pass is named as many ahead as reports are old, and one. A hold that came too late names the next pass at once, without rest or another report.

Ruled out: always two ahead, which is too few where passes are short.

--- a/src/lugcross/desired/model.py
+++ b/src/lugcross/desired/model.py
@@ -84,6 +84,7 @@
     :param per_seq_ms: further time for each request that writes.
     :param context_ms: further time for each 1,000 tokens of context.
     :param read_per_s: prompt tokens read in a second.
+    :param report_lag: age of what its reports tell from another host.
     :param experts: limits of its expert maps; none if it has no experts.
     """
 
@@ -94,6 +95,7 @@
     per_seq_ms: float = 0.0
     context_ms: float = 0.0
     read_per_s: float = 0.0
+    report_lag: datetime.timedelta = datetime.timedelta()
     experts: experts_lib.Limits | None = None
 
 
--- a/src/lugcross/edge/attempt.py
+++ b/src/lugcross/edge/attempt.py
@@ -275,7 +275,7 @@
         now = self._clock.monotonic()
         limit = self._plan.route.max_gap
         if last is not None and limit is not None:
-            self._world.paused(self._plan.service, now - last, limit)
+            self._world.paused(self._backend, now - last, limit)
         return now
 
     def _health(self) -> routing.Health:
--- a/src/lugcross/edge/groups.py
+++ b/src/lugcross/edge/groups.py
@@ -9,9 +9,14 @@
 
 from lugcross import clock as clock_lib
 from lugcross import desired
+from lugcross.edge import pulse as pulse_lib
 from lugcross import experts
 from lugcross import ids
 
+#: Passes from a report to the one at which maps change, at most, and where
+#: it is not known what a pass takes.
+_AHEAD = 5
+
 
 @final
 @dataclasses.dataclass
@@ -24,6 +29,8 @@
         use.
     :param looked_at: when rank 0 told its state last.
     :param hold_seen: a pass held by someone else, and since when.
+    :param report_lag: age of what its ranks report.
+    :param pulse: what its passes take.
     """
 
     name: str
@@ -43,6 +50,8 @@
     looked_at: clock_lib.Instant | None = None
     hold_seen: tuple[experts.Step, clock_lib.Instant] | None = None
     busy: bool = False
+    report_lag: datetime.timedelta = datetime.timedelta()
+    pulse: pulse_lib.Pulse = dataclasses.field(default_factory=pulse_lib.Pulse)
 
     @property
     def whole(self) -> bool:
@@ -61,6 +70,17 @@
         """Whether it still has the map that it began its life with."""
         return self.version == 0
 
+    def ahead(self) -> int:
+        """Return how many passes may begin until all ranks are armed.
+
+        Those that have begun since what a report tells, and one in which
+        the orders are given, and once more where one got no answer.
+        """
+        usual = self.pulse.usual
+        if not usual or not self.report_lag:
+            return _AHEAD
+        return min(_AHEAD, 1 + int(self.report_lag / usual))
+
     def sample(self, count: int) -> list[experts.Rank]:
         """Return the first rank and others spread over the group.
 
@@ -161,6 +181,10 @@
             for backend in group.members.values()
         ]
 
+    def of_backend(self, key: desired.BackendKey) -> Group | None:
+        """Return the group that a backend server is a rank of, if known."""
+        return self._placed.get(key)
+
     def unplaced(
         self, backends: Iterable[desired.Backend]
     ) -> list[desired.Backend]:
@@ -171,13 +195,21 @@
         self,
         backend: desired.Backend,
         report: experts.Report,
-        limits: experts.Limits,
+        engine: desired.Engine,
     ) -> None:
         """Note which rank of which group a backend server is."""
+        limits = engine.experts
+        assert limits is not None
         key = backend.service, report.group
         group = self._groups.get(key)
         if group is None or group.size != report.size:
-            group = Group(report.group, backend.service, limits, report.size)
+            group = Group(
+                report.group,
+                backend.service,
+                limits,
+                report.size,
+                report_lag=engine.report_lag,
+            )
             self._groups[key] = group
         group.members[report.rank] = backend
         self._placed[backend.key] = group
--- a/src/lugcross/edge/maps.py
+++ b/src/lugcross/edge/maps.py
@@ -40,9 +40,6 @@
 _UNFIT = datetime.timedelta(seconds=10)
 #: Stands for the time of one copy where the platform tells none, seconds.
 _NO_COPY_S = 0.001
-#: Passes that may have begun since the report that told the last one, some
-#: hundred milliseconds old, and until all ranks are armed.
-_AHEAD = 5
 
 
 @final
@@ -75,6 +72,7 @@
         self._changed = changed
         self._node = node
         self._world = world
+        world.on_pause = self._paused
         self._clock = clock
         self._duty = duty
         self._owner = owner
@@ -87,6 +85,14 @@
         self._stuck_at: clock_lib.Instant | None = None
         self._had = False
 
+    def _paused(
+        self, key: desired.BackendKey, pause: datetime.timedelta
+    ) -> None:
+        """Learn what a pass takes from a pause between two events."""
+        group = self._groups.of_backend(key)
+        if group is not None:
+            group.pulse.paused(pause, self._clock.monotonic())
+
     def is_stuck(self) -> bool:
         """Tell whether a switch did not get on lately.
 
@@ -138,12 +144,15 @@
     async def _look_at_all(self) -> None:
         state = self._world.desired
         for service in state.services.values() if state else ():
-            limits = service.engine.experts if service.engine else None
-            if limits is not None:
-                await self._serve(service.name, limits)
+            engine = service.engine
+            if engine is not None and engine.experts is not None:
+                await self._serve(service.name, engine, engine.experts)
 
     async def _serve(
-        self, service: ids.ServiceName, limits: experts.Limits
+        self,
+        service: ids.ServiceName,
+        engine: desired.Engine,
+        limits: experts.Limits,
     ) -> None:
         backends = [
             one for one in self._world.backends.all() if one.service == service
@@ -152,7 +161,7 @@
         groups = self._groups.of(service)
         uses, *_ = await asyncio.gather(
             self._sight.demand(service, groups, limits),
-            self._place(self._groups.unplaced(backends), limits),
+            self._place(self._groups.unplaced(backends), engine),
             *map(self._look, groups),
         )
         for group in groups:
@@ -163,7 +172,7 @@
                 self._consider(group, known)
 
     async def _place(
-        self, backends: list[desired.Backend], limits: experts.Limits
+        self, backends: list[desired.Backend], engine: desired.Engine
     ) -> None:
         if not backends:
             return
@@ -175,7 +184,7 @@
         reports = await asyncio.gather(*map(self._report, backends))
         for backend, report in zip(backends, reports, strict=True):
             if report is not None:
-                self._groups.place(backend, report, limits)
+                self._groups.place(backend, report, engine)
 
     async def _report(self, backend: desired.Backend) -> experts.Report | None:
         try:
@@ -308,7 +317,6 @@
             before=group.used,
             owner=self._owner,
             since=group.step,
-            ahead=_AHEAD,
         )
         await self._drive(group, switch, plan)
 
--- /dev/null
+++ b/src/lugcross/edge/pulse.py
@@ -0,0 +1,63 @@
+# SPDX-License-Identifier: Apache-2.0
+"""What a pass of one group of ranks takes, from the pauses of its streams.
+
+Each pass gives each stream of the group one event, so that a pause between
+two events is as long as a pass. That costs nothing to see, and shows within
+one pass that demand has jumped to other experts: the rank that holds them
+becomes the slowest by far.
+"""
+
+import datetime
+from typing import final
+
+from lugcross import clock as clock_lib
+
+#: Weight of one pass against the usual before; a dozen passes make up most
+#: of it, which is a second at most.
+_WEIGHT = 0.15
+#: Times the usual that one pass must take to be a jump. A jump makes passes
+#: 1.5 to 2.5 times as long; prompts that are read in a pass make it up to a
+#: third longer (pauses logged over a day of jumps).
+_JUMP = 1.4
+#: Pauses that end this part of their length after another belong to the
+#: same pass.
+_SAME_PASS = 0.5
+#: Passes past this many times the usual come of a fault: a group that
+#: stands still tells nothing of demand.
+_FAULT = 6.0
+
+
+@final
+class Pulse:
+    """Pass times of one group."""
+
+    def __init__(self) -> None:
+        self._usual: datetime.timedelta | None = None
+        self._at: clock_lib.Instant | None = None
+
+    @property
+    def usual(self) -> datetime.timedelta | None:
+        """What a pass takes as a rule; none before any was seen."""
+        return self._usual
+
+    def paused(
+        self, pause: datetime.timedelta, now: clock_lib.Instant
+    ) -> bool:
+        """Take a pause of any stream; tell whether passes have jumped.
+
+        A jump is told once: from then on its passes are the usual.
+        """
+        if self._at is not None and now - self._at < pause * _SAME_PASS:
+            return False
+        self._at = now
+        usual = self._usual
+        if usual is None:
+            self._usual = pause
+            return False
+        if pause > usual * _FAULT:
+            return False
+        if pause > usual * _JUMP:
+            self._usual = pause
+            return True
+        self._usual = usual + (pause - usual) * _WEIGHT
+        return False
--- a/src/lugcross/edge/switching.py
+++ b/src/lugcross/edge/switching.py
@@ -96,7 +96,7 @@
             # Another process is switching this group.
             switch.leave()
         else:
-            switch.copied(report.step)
+            switch.copied(report.step, ahead=self._group.ahead())
             switch.hold_later(report.step)
 
     @property
@@ -115,7 +115,7 @@
             switch.take(rank, order, verdict)
         if all(one is experts.Verdict.DONE for one in verdicts):
             return
-        if experts.Verdict.FENCED in verdicts:
+        if experts.Verdict.FENCED in verdicts or switch.hold_refused:
             return
         if experts.Verdict.REFUSED in verdicts:
             await self._check_epoch(switch)
--- a/src/lugcross/edge/world.py
+++ b/src/lugcross/edge/world.py
@@ -47,6 +47,10 @@
         self._budgets: dict[ids.ServiceName, routing.RepeatBudget] = {}
         self._returns: dict[str, admission.Returns] = {}
         self._paces: dict[ids.ServiceName, pace_lib.Pace] = {}
+        #: Called with each pause between two events of a stream.
+        self.on_pause: Callable[
+            [desired.BackendKey, datetime.timedelta], None
+        ] = lambda key, pause: None
         #: How many peers may exist, set by whoever listens to them.
         self.known_peers: Callable[[], int] = lambda: 0
         self.desired: desired.Desired | None = None
@@ -130,11 +134,13 @@
 
     def paused(
         self,
-        service: ids.ServiceName,
+        backend: desired.Backend,
         pause: datetime.timedelta,
         limit: datetime.timedelta,
     ) -> None:
         """Learn from a pause between two events of a stream."""
+        self.on_pause(backend.key, pause)
+        service = backend.service
         engine = self.engine(service)
         if engine is None:
             return
--- a/src/lugcross/experts/switch.py
+++ b/src/lugcross/experts/switch.py
@@ -70,8 +70,6 @@
 
     :param version: version of the new map, above all the ranks had.
     :param since: pass that had begun when the switch was planned.
-    :param ahead: passes that may begin from a report until all ranks are
-        armed; more of them delay the map, fewer hold up the group.
     :param after: the new map; none where a left one is only finished.
     :param before: the map in use, given to ranks when the new is voided.
     """
@@ -85,10 +83,8 @@
         before: model.ExpertMap,
         owner: orders.Owner,
         since: orders.Step = orders.Step(0),
-        ahead: int = 0,
     ) -> None:
         self._since = since
-        self._ahead = ahead
         self._size = size
         self._version = version
         self._after = after
@@ -211,10 +207,13 @@
         elif self.phase is Phase.RELEASE:
             self._released(order, verdict)
 
-    def copied(self, now: orders.Step) -> None:
+    def copied(self, now: orders.Step, *, ahead: int = 0) -> None:
         """Go on once the ranks have probably copied what they need.
 
-        :param now: pass that began last.
+        :param now: pass that began last, as a report tells.
+        :param ahead: passes that may begin from that report until all
+            ranks are armed; more of them delay the map, fewer hold up the
+            group.
         """
         if self.phase is not Phase.COPY:
             return
@@ -222,15 +221,16 @@
             self._end(Outcome.LEFT)
             return
         self._enter(Phase.HOLD)
-        self._name(now)
+        self._name(now, ahead)
 
     def hold_later(self, now: orders.Step) -> None:
         """Hold a later pass where the one that was named had begun.
 
-        :param now: pass that began last.
+        :param now: pass that began last, as a report tells. That the
+            named one has begun is newer, so that the next one is near.
         """
         if self.hold_refused:
-            self._name(orders.Step(max(now, self._step)))
+            self._name(orders.Step(max(now, self._step)), 1)
 
     @property
     def hold_refused(self) -> bool:
@@ -249,9 +249,9 @@
         """End: the group has a new life, and knows none of this."""
         self._end(Outcome.LEFT)
 
-    def _name(self, now: orders.Step) -> None:
+    def _name(self, now: orders.Step, ahead: int) -> None:
         """Choose the pass; from now on it may be held."""
-        self._step = self._owner.step(orders.Step(now + self._ahead))
+        self._step = self._owner.step(orders.Step(now + ahead))
         self._held.add(self._step)
 
     def _all(self) -> set[orders.Rank]:
--- a/src/lugcross/platform/state.py
+++ b/src/lugcross/platform/state.py
@@ -64,6 +64,7 @@
     per_seq_ms: float = 0.0
     context_per_k: float = 0.0
     read_per_s: float = 0.0
+    report_lag_ms: float = 0.0
     link_mbps: float = 0.0
     sets: int = 0
     experts: int = 0
@@ -222,6 +223,7 @@
         per_seq_ms=raw.per_seq_ms,
         context_ms=raw.context_per_k,
         read_per_s=raw.read_per_s,
+        report_lag=_ms(raw.report_lag_ms),
         experts=_experts(raw),
     )
 
--- a/testing/experts/test_lease.py
+++ b/testing/experts/test_lease.py
@@ -210,6 +210,29 @@
     assert node.lease.held == 2
 
 
+def test_number_rises_above_a_refused_one_though_the_record_is_lost(
+    new, store, clock
+) -> None:
+    node = new("a")
+    node.settle()
+    node.lease.refused(experts.Generation(1))
+    store.newest = None
+    node.settle()
+    assert node.lease.held == 2
+
+
+def test_store_is_read_again_after_a_write_without_an_answer(
+    new, store, clock
+) -> None:
+    node = new("a")
+    node.settle()
+    clock.advance(lease_lib.RENEW_EVERY)
+    assert node.move() is Move.RENEW
+    node.lease.unclear()
+    clock.advance(lease_lib.RETRY_AFTER)
+    assert node.move() is Move.READ
+
+
 @pytest.mark.parametrize(
     ("number", "held"), [(1, 1), (2, None)], ids=["own", "higher"]
 )
