See jumps of demand by the pauses of streams

Hypothesis: counts are read every 0.8 s, so that a jump is seen 0.4 s late on the mean, its reading mixes old and new demand, and a switch for the old demand keeps the group busy meanwhile.

Change: a pass 1.4 times the usual has the counts read at once and again after 1.2 passes; the map is planned as soon as the group can change, not only at the moment of a reading; a map that is still being copied is left if the new demand would have a better one by least_saving. Rounds are 50 ms apart, looks at a group that changes 0.2 s as before.

Ruled out by a trial: leaving what is copied at each jump.

--- a/src/lugcross/edge/groups.py
+++ b/src/lugcross/edge/groups.py
@@ -13,6 +13,9 @@
 from lugcross import experts
 from lugcross import ids
 
+#: Time between two looks at a group that is about to change; as old as
+#: reports are where they are read from another host.
+_LOOK_SOON = datetime.timedelta(milliseconds=200)
 #: Passes from a report to the one at which maps change, at most, and where
 #: it is not known what a pass takes.
 _AHEAD = 5
@@ -29,6 +32,9 @@
         use.
     :param looked_at: when rank 0 told its state last.
     :param hold_seen: a pass held by someone else, and since when.
+    :param planned_at: when the reading was made that a map was last
+        planned by.
+    :param copying: the map that its ranks copy experts for.
     :param report_lag: age of what its ranks report.
     :param pulse: what its passes take.
     """
@@ -50,6 +56,8 @@
     looked_at: clock_lib.Instant | None = None
     hold_seen: tuple[experts.Step, clock_lib.Instant] | None = None
     busy: bool = False
+    planned_at: clock_lib.Instant | None = None
+    copying: experts.ExpertMap | None = None
     report_lag: datetime.timedelta = datetime.timedelta()
     pulse: pulse_lib.Pulse = dataclasses.field(default_factory=pulse_lib.Pulse)
 
@@ -96,10 +104,12 @@
 
         Sooner than usual where something is about to change.
         """
-        if self.looked_at is None or not self.is_open:
+        if self.looked_at is None:
             return True
+        if not self.is_open:
+            gap = min(gap, _LOOK_SOON)
         if self.hold_seen is not None or self.awaited is not None:
-            return True
+            gap = min(gap, _LOOK_SOON)
         return now - self.looked_at >= gap
 
     def lost(self, now: clock_lib.Instant) -> None:
--- a/src/lugcross/edge/maps.py
+++ b/src/lugcross/edge/maps.py
@@ -22,8 +22,11 @@
 from lugcross import ids
 from lugcross import platform
 
-#: Time between two rounds, in seconds.
-_ROUND_S = 0.2
+#: Time between two rounds, in seconds: about one pass of an engine, so
+#: that a jump of demand is followed at the next.
+_ROUND_S = 0.05
+#: Passes after a jump in which one rank's counts tell the new demand.
+_SETTLE_PASSES = 1.2
 #: Time between two looks at a group; a report costs as much as a health
 #: check, and what it tells changes only with faults.
 _LOOK = datetime.timedelta(milliseconds=500)
@@ -81,6 +84,7 @@
         self._groups = groups_lib.Groups()
         self._sight = sight_lib.Sight(engines, clock)
         self._tasks: set[asyncio.Task[None]] = set()
+        self._drivers: dict[str, switching.Driver] = {}
         self._placed_at: dict[ids.ServiceName, clock_lib.Instant] = {}
         self._stuck_at: clock_lib.Instant | None = None
         self._had = False
@@ -90,8 +94,14 @@
     ) -> None:
         """Learn what a pass takes from a pause between two events."""
         group = self._groups.of_backend(key)
-        if group is not None:
-            group.pulse.paused(pause, self._clock.monotonic())
+        if group is None:
+            return
+        if group.pulse.paused(pause, self._clock.monotonic()):
+            logging.info(
+                "passes have jumped",
+                extra={"group": group.name, "pass_s": pause.total_seconds()},
+            )
+            self._sight.jumped(group.service, pause * _SETTLE_PASSES)
 
     def is_stuck(self) -> bool:
         """Tell whether a switch did not get on lately.
@@ -159,17 +169,21 @@
         ]
         self._groups.keep_only(backends)
         groups = self._groups.of(service)
-        uses, *_ = await asyncio.gather(
-            self._sight.demand(service, groups, limits),
+        await asyncio.gather(
+            self._sight.look(service, groups, limits),
             self._place(self._groups.unplaced(backends), engine),
             *map(self._look, groups),
         )
         for group in groups:
-            known = uses
-            if known is None and group.is_new:
-                known = self._sight.lately(service)
-            if known is not None and group.ready:
-                self._consider(group, known)
+            seen = self._sight.demand(service, group)
+            if seen is None or seen.at == group.planned_at:
+                continue
+            if group.copying is not None:
+                group.planned_at = seen.at
+                self._reconsider(group, seen.uses)
+            elif group.ready:
+                group.planned_at = seen.at
+                self._consider(group, seen.uses)
 
     async def _place(
         self, backends: list[desired.Backend], engine: desired.Engine
@@ -259,16 +273,34 @@
             return None
         return experts.ExpertMap(tuple(ranks))
 
-    def _consider(self, group: groups_lib.Group, uses: experts.Demand) -> None:
+    def _plan(
+        self, group: groups_lib.Group, uses: experts.Demand
+    ) -> experts.Plan:
         assert group.used is not None
-        limits = group.limits
-        copies = int(self.cfg.copy_s / (limits.copy_s or _NO_COPY_S))
-        plan = experts.plan(
-            uses, group.used, limits, most_copies=max(1, copies)
+        copies = int(self.cfg.copy_s / (group.limits.copy_s or _NO_COPY_S))
+        return experts.plan(
+            uses, group.used, group.limits, most_copies=max(1, copies)
         )
-        before = experts.pass_time(plan.skew_before, limits.share)
-        after = experts.pass_time(plan.skew_after, limits.share)
-        worth = 1.0 - after / before >= self.cfg.least_saving
+
+    def _reconsider(
+        self, group: groups_lib.Group, uses: experts.Demand
+    ) -> None:
+        """Leave a map that demand has left behind while it is copied."""
+        assert group.copying is not None
+        plan = self._plan(group, uses)
+        copying = experts.skew(uses, group.copying)
+        saving = experts.saving(copying, plan.skew_after, group.limits.share)
+        if saving >= self.cfg.least_saving:
+            self._drivers[group.name].abandon()
+            # Planned anew by the same reading, once it is left.
+            group.planned_at = None
+
+    def _consider(self, group: groups_lib.Group, uses: experts.Demand) -> None:
+        plan = self._plan(group, uses)
+        saving = experts.saving(
+            plan.skew_before, plan.skew_after, group.limits.share
+        )
+        worth = saving >= self.cfg.least_saving
         logging.info(
             "expert map planned",
             extra={
@@ -367,7 +399,13 @@
         driver = switching.Driver(
             self._engines, group, self._duty, self._clock, self._sleep
         )
-        finished = await driver.run(switch, plan.copies if plan else 0)
+        self._drivers[group.name] = driver
+        group.copying = plan.next if plan else None
+        try:
+            finished = await driver.run(switch, plan.copies if plan else 0)
+        finally:
+            group.copying = None
+            del self._drivers[group.name]
         if not finished:
             self._stuck_at = self._clock.monotonic()
         logging.info(
--- a/src/lugcross/edge/sight.py
+++ b/src/lugcross/edge/sight.py
@@ -32,6 +32,20 @@
     at: clock_lib.Instant
 
 
+@final
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Seen:
+    """What was in demand between two readings.
+
+    :param at: when the second of them was made.
+    :param past: whether demand has jumped since.
+    """
+
+    uses: experts.Demand
+    at: clock_lib.Instant
+    past: bool = False
+
+
 @final
 class Sight:
     """Reads the counts of one rank of each service again and again."""
@@ -42,22 +56,35 @@
         self._engines = engines
         self._clock = clock
         self._last: dict[ids.ServiceName, _Reading] = {}
-        self._seen: dict[
-            ids.ServiceName, tuple[experts.Demand, clock_lib.Instant]
-        ] = {}
+        self._gaps: dict[ids.ServiceName, datetime.timedelta] = {}
+        self._seen: dict[ids.ServiceName, Seen] = {}
 
     def clear(self) -> None:
         """Forget everything: another process has looked meanwhile."""
         self._last.clear()
+        self._gaps.clear()
         self._seen.clear()
 
-    async def demand(
+    def jumped(
+        self, service: ids.ServiceName, settle: datetime.timedelta
+    ) -> None:
+        """Begin anew: what was counted before tells of the past.
+
+        :param settle: time in which counts tell enough of the new demand.
+        """
+        self._last.pop(service, None)
+        self._gaps[service] = settle
+        seen = self._seen.get(service)
+        if seen is not None:
+            self._seen[service] = dataclasses.replace(seen, past=True)
+
+    async def look(
         self,
         service: ids.ServiceName,
         groups: Iterable[groups_lib.Group],
         limits: experts.Limits,
-    ) -> experts.Demand | None:
-        """Return what was in demand since the last reading, if it is due.
+    ) -> None:
+        """Read the counts of one rank, if that is due.
 
         All groups of a service see the same demand, so that one rank of
         one of them tells enough.
@@ -66,30 +93,39 @@
         now = self._clock.monotonic()
         last = self._last.get(service)
         if source is None:
-            return None
-        if last is not None and now - last.at < _READ:
-            return None
+            return
+        if last is not None and now - last.at < self._gap(service):
+            return
         backend = source.members[experts.Rank(0)]
         try:
             counts = await self._engines.counts(backend, limits)
         except platform.EngineError as exc:
             logging.info("no counts", extra={"why": str(exc)})
-            return None
+            return
         self._last[service] = _Reading(backend.key, counts, now)
         if last is None or last.backend != backend.key:
-            return None
+            return
+        self._gaps.pop(service, None)
         uses = experts.between(last.counts, counts)
         if uses is not None:
-            self._seen[service] = uses, now
-        return uses
+            self._seen[service] = Seen(uses=uses, at=now)
+
+    def _gap(self, service: ids.ServiceName) -> datetime.timedelta:
+        return self._gaps.get(service, _READ)
 
-    def lately(self, service: ids.ServiceName) -> experts.Demand | None:
-        """Return what was in demand a while ago, for a group just formed.
+    def demand(
+        self, service: ids.ServiceName, group: groups_lib.Group
+    ) -> Seen | None:
+        """Return what a group's map should be planned by, if it is known.
 
-        About half of it has changed every few seconds; the rest is more
-        than a new group's first map knows.
+        For one that has just formed anew that may be what was in demand a
+        while ago: about half of it has changed every few seconds; the rest
+        is more than the group's first map knows.
         """
-        found = self._seen.get(service)
-        if found is None or self._clock.monotonic() - found[1] > _LATELY:
+        seen = self._seen.get(service)
+        if seen is None:
             return None
-        return found[0]
+        age = self._clock.monotonic() - seen.at
+        if group.is_new:
+            return seen if age <= _LATELY else None
+        return seen if age <= _READ and not seen.past else None
--- a/src/lugcross/edge/switching.py
+++ b/src/lugcross/edge/switching.py
@@ -25,6 +25,9 @@
 _GIVE_UP = datetime.timedelta(seconds=5)
 #: Rest between two rounds of orders of which some were not done, seconds.
 _AGAIN_S = 0.04
+#: Longest rest while ranks copy, in seconds, between two looks whether
+#: the map that they copy for is of no use any more.
+_COPY_LOOK_S = 0.05
 #: Copying is taken to last this much longer than the links alone tell.
 _COPY_MORE = 1.1
 #: Further time for copying, in seconds: orders reach the ranks one after
@@ -56,6 +59,11 @@
         self._engines = engines
         self._group = group
         self._clock = clock
+        self._outdated = False
+
+    def abandon(self) -> None:
+        """Leave the switch if its ranks are still copying."""
+        self._outdated = True
 
     async def run(self, switch: experts.Switch, copies: int) -> bool:
         """Carry out a switch; tell whether it came to an end.
@@ -64,7 +72,8 @@
         """
         since = self._clock.monotonic()
         copying = copies * self._group.limits.copy_s
-        copied = since + datetime.timedelta(seconds=copying * _COPY_MORE)
+        copying = copying * _COPY_MORE + _COPY_ADD_S
+        copied = since + datetime.timedelta(seconds=copying)
         while switch.phase is not experts.Phase.OVER:
             now = self._clock.monotonic()
             if now - copied > _GIVE_UP or not self._may_order():
@@ -74,14 +83,24 @@
                 switch.leave()
                 continue
             if switch.phase is experts.Phase.COPY:
-                await self._sleep(copying * _COPY_MORE + _COPY_ADD_S)
-                await self._name_step(switch)
+                await self._wait_copied(copied, switch)
             elif switch.hold_refused:
                 await self._name_step(switch)
             else:
                 await self._send_all(switch)
         return True
 
+    async def _wait_copied(
+        self, copied: clock_lib.Instant, switch: experts.Switch
+    ) -> None:
+        left = (copied - self._clock.monotonic()).total_seconds()
+        if self._outdated:
+            switch.leave()
+        elif left > 0:
+            await self._sleep(min(left, _COPY_LOOK_S))
+        else:
+            await self._name_step(switch)
+
     async def _name_step(self, switch: experts.Switch) -> None:
         """Choose the pass at which all ranks change."""
         try:
--- a/src/lugcross/experts/__init__.py
+++ b/src/lugcross/experts/__init__.py
@@ -17,6 +17,7 @@
 from lugcross.experts.model import pass_time
 from lugcross.experts.model import rank_loads
 from lugcross.experts.model import RankExperts
+from lugcross.experts.model import saving
 from lugcross.experts.model import skew
 from lugcross.experts.orders import Arm
 from lugcross.experts.orders import Disarm
@@ -71,6 +72,7 @@
     "pass_time",
     "plan",
     "rank_loads",
+    "saving",
     "shaped",
     "skew",
 ]
--- a/src/lugcross/experts/model.py
+++ b/src/lugcross/experts/model.py
@@ -108,6 +108,15 @@
     ]
 
 
+def saving(before: float, after: float, share: float) -> float:
+    """Return the part of a pass that another skew saves.
+
+    :param before: skew now.
+    :param share: part of an even pass that is spent in experts.
+    """
+    return 1.0 - pass_time(after, share) / pass_time(before, share)
+
+
 def pass_time(skew_now: float, share: float) -> float:
     """Return how long a pass takes, where 1 is a pass without any skew.
 
--- a/testing/edge/test_maps.py
+++ b/testing/edge/test_maps.py
@@ -436,3 +436,104 @@
         assert rig.maps.is_stuck()
 
     run(act)
+
+
+#: Uses once demand has jumped: another expert has nearly all.
+JUMPED = (1000, 1000, 1000, 100_000, 1000, 1000, 1000, 1000)
+
+
+class Jumping:
+    """Engines whose demand jumps, and a stream that feels it."""
+
+    def __init__(self, rig: Rig) -> None:
+        self.rig = rig
+        self.reads = 0
+        self.uses = HOT
+        counts = rig.engines.counts
+
+        async def counted(*args: object) -> experts.Counts:
+            self.reads += 1
+            return await counts(*args)
+
+        rig.engines.counts = counted
+        rig.engines.passed = self.passed
+
+    def passed(self, seconds: float) -> None:
+        for _ in range(max(1, int(seconds / 0.05))):
+            self.rig.engines.group.begin_pass()
+        if seconds > 0.5:
+            self.copied()
+        self.rig.engines.uses = [
+            old + new
+            for old, new in zip(self.rig.engines.uses, self.uses, strict=True)
+        ]
+
+    def copied(self) -> None:
+        for rank in self.rig.engines.group.ranks:
+            rank.copied = True
+
+    def event(self, pause_ms: float) -> None:
+        """Let a stream get its next event."""
+        pause = datetime.timedelta(milliseconds=pause_ms)
+        self.rig.clock.advance(pause)
+        self.rig.world.on_pause(desired.BackendKey("1"), pause)
+
+    async def short_rounds(self, count: int) -> None:
+        """Let some passes go by, with a round at each."""
+        for _ in range(count):
+            self.rig.clock.advance(datetime.timedelta(seconds=0.1))
+            self.passed(0.1)
+            await self.rig.maps.round()
+
+
+def test_jump_of_passes_has_counts_read_at_once_and_once_more():
+    async def act(rig: Rig) -> None:
+        jumping = Jumping(rig)
+        await rig.rounds(4)
+        jumping.event(50)
+        before = jumping.reads
+        await jumping.short_rounds(2)
+        assert jumping.reads == before
+        jumping.event(120)
+        await jumping.short_rounds(3)
+        assert jumping.reads == before + 2
+
+    run(act, settings_lib.Maps(least_saving=1.0))
+
+
+@pytest.mark.parametrize("jumps", [True, False], ids=["jump", "steady"])
+def test_map_that_demand_has_left_is_not_copied_to_the_end(jumps: bool):
+    async def act(rig: Rig) -> None:
+        jumping = Jumping(rig)
+        released = asyncio.Event()
+        sleep = rig.maps._sleep
+
+        async def held(seconds: float) -> None:
+            await released.wait()
+            await sleep(seconds)
+
+        rig.maps._sleep = held
+        for _ in range(4):
+            rig.clock.advance(SECOND)
+            jumping.passed(0.1)
+            await rig.maps.round()
+        for _ in range(20):
+            await asyncio.sleep(0)
+        first = list(rig.engines.orders)
+        assert {type(one) for one in first} == {experts.Prepare}
+        if jumps:
+            jumping.uses = JUMPED
+        jumping.event(50)
+        jumping.event(120)
+        await jumping.short_rounds(3)
+        released.set()
+        jumping.copied()
+        await rig.maps.idle()
+        armed = {
+            one.version
+            for one in rig.engines.orders
+            if isinstance(one, experts.Arm)
+        }
+        assert bool(armed) != jumps
+
+    run(act)
