Refuse requests that come back at once, too

Hypothesis: requests that come back are held for up to 0.45 of their time while every server is full or their group is broken. Hardly any of them is served then, and their callers hear of it seconds late.

Change: nobody waits.

--- a/src/lugcross/edge/admission.py
+++ b/src/lugcross/edge/admission.py
@@ -63,31 +63,6 @@
     return None
 
 
-#: Part of its time that a request which was refused before may wait for a
-#: place: it would be lost if it were refused again, and past a half of its
-#: time its caller is better off with an answer.
-_WAIT_PART = 0.45
-#: Times a route's aim that must be left for the answer itself.
-_ANSWER_AIMS = 2.0
-
-
-def patience(
-    left: datetime.timedelta, aim: datetime.timedelta, *, back: bool
-) -> datetime.timedelta:
-    """Return how long a request may wait for a place to run.
-
-    One that asks for the first time is told at once to come back: served
-    then, it is worth more than one that was kept waiting.
-
-    :param left: time until it must be answered.
-    :param aim: time in which its route aims to answer.
-    """
-    if not back:
-        return datetime.timedelta()
-    longest = min(left * _WAIT_PART, left - aim * _ANSWER_AIMS)
-    return max(datetime.timedelta(), longest)
-
-
 #: Part of the longest time seen at which a request counts as one that
 #: comes back: a first one loses no more than its way here.
 _BACK_TIME = 0.95
--- a/src/lugcross/edge/runner.py
+++ b/src/lugcross/edge/runner.py
@@ -23,9 +23,6 @@
 from lugcross import platform
 
 _MS = datetime.timedelta(milliseconds=1)
-#: Longest time between two looks of a waiting request for a place, seconds:
-#: a pass or two of an engine.
-_LOOK_S = 0.1
 
 
 @final
@@ -65,7 +62,6 @@
                 exchange,
                 plan,
                 self._changed,
-                self._closed,
                 self._rng,
             ).run()
         except refusal.RefusedError as exc:
@@ -173,11 +169,9 @@
         exchange: http1.Exchange,
         plan: attempt_lib.Plan,
         changed: Callable[[], None],
-        closed: Callable[[], bool],
         rng: random.Random,
     ) -> None:
         self._rng = rng
-        self._closed = closed
         self._world = world
         self._clock = clock
         self._plan = plan
@@ -194,31 +188,28 @@
         left = self._left()
         try:
             async with asyncio.timeout(left.total_seconds()):
-                await self._send_all(await self._first())
+                await self._send_all(self._first())
         except TimeoutError:
             self._time_out()
 
     def _left(self) -> datetime.timedelta:
         return self._plan.deadline - self._clock.monotonic()
 
-    async def _first(self) -> desired.Backend:
-        """Return the first backend server; wait for a place, or refuse."""
-        route = self._plan.route
-        back = self._world.returns(route.name).is_back(
+    def _first(self) -> desired.Backend:
+        """Return the first backend server, or refuse.
+
+        Nobody waits for a place here, also not who comes back: of those
+        that were kept waiting hardly any was served, and their callers
+        were told so seconds later than they could have been.
+        """
+        back = self._world.returns(self._plan.route.name).is_back(
             self._plan.head.time_left
         )
-        left = self._left()
-        until = self._clock.monotonic() + admission.patience(
-            left, route.target, back=back
-        )
-        while True:
-            found = self._choose()
-            verdict = self._verdict(back=back)
-            if found is not None and verdict is None:
-                return found.backend
-            if self._closed() or self._clock.monotonic() >= until:
-                raise self._refusal(found, verdict)
-            await asyncio.sleep(_LOOK_S * self._rng.uniform(0.5, 1.0))
+        found = self._choose()
+        verdict = self._verdict(back=back)
+        if found is None or verdict is not None:
+            raise self._refusal(found, verdict)
+        return found.backend
 
     def _verdict(self, *, back: bool) -> str | None:
         service = self._plan.service
