Follow what a pass takes within a few passes

Hypothesis: the pace learns from every pause with a weight of 0.02, so that after a jump it lets as many requests in as before for some fifty pauses; they make passes longer still, past the longest pause in time.

Change: each pass counts once, however many streams feel it, with a weight of 0.3.

--- a/src/lugcross/edge/pace.py
+++ b/src/lugcross/edge/pace.py
@@ -10,11 +10,14 @@
 import datetime
 from typing import final
 
+from lugcross import clock as clock_lib
 from lugcross import desired
+from lugcross.edge import pulse
 
-#: Weight of one pause against what was learned before. With some hundred
-#: pauses a second it follows a change of demand within a second.
-_WEIGHT = 0.02
+#: Weight of one pass against what was learned before: half of a jump is
+#: followed after two passes, and one pass that reads a long prompt, a third
+#: longer than others, changes what is full by a tenth.
+_WEIGHT = 0.3
 #: Part of the longest pause in time that a mean pass may take. Passes
 #: that read long prompts take longer, and one late pause makes a whole
 #: stream late; measured, see docs/design/0005-platform.md.
@@ -36,10 +39,12 @@
 
     def __init__(self) -> None:
         self._per_request_ms: float | None = None
+        self._passes = pulse.Passes()
 
     def paused(
         self,
         pause: datetime.timedelta,
+        now: clock_lib.Instant,
         *,
         engine: desired.Engine,
         per_engine: float,
@@ -52,6 +57,8 @@
         """
         if pause > limit * _FAULT or per_engine <= 0:
             return
+        if not self._passes.is_new(pause, now):
+            return
         extra_ms = max(0.0, pause / _MS - _fixed_ms(engine))
         seen = extra_ms / max(1.0, per_engine)
         held = self._per_request_ms
--- a/src/lugcross/edge/pulse.py
+++ b/src/lugcross/edge/pulse.py
@@ -27,13 +27,30 @@
 _FAULT = 6.0
 
 
+@final
+class Passes:
+    """Tells the first pause of each pass from those of other streams."""
+
+    def __init__(self) -> None:
+        self._at: clock_lib.Instant | None = None
+
+    def is_new(
+        self, pause: datetime.timedelta, now: clock_lib.Instant
+    ) -> bool:
+        """Take a pause that ends now; tell whether its pass is new."""
+        if self._at is not None and now - self._at < pause * _SAME_PASS:
+            return False
+        self._at = now
+        return True
+
+
 @final
 class Pulse:
     """Pass times of one group."""
 
     def __init__(self) -> None:
         self._usual: datetime.timedelta | None = None
-        self._at: clock_lib.Instant | None = None
+        self._passes = Passes()
 
     @property
     def usual(self) -> datetime.timedelta | None:
@@ -47,9 +64,8 @@
 
         A jump is told once: from then on its passes are the usual.
         """
-        if self._at is not None and now - self._at < pause * _SAME_PASS:
+        if not self._passes.is_new(pause, now):
             return False
-        self._at = now
         usual = self._usual
         if usual is None:
             self._usual = pause
--- a/src/lugcross/edge/world.py
+++ b/src/lugcross/edge/world.py
@@ -149,6 +149,7 @@
             return
         self.pace(service).paused(
             pause,
+            self._clock.monotonic(),
             engine=engine,
             per_engine=picture.busy / picture.servers,
             limit=limit,
--- a/testing/edge/test_decisions.py
+++ b/testing/edge/test_decisions.py
@@ -21,6 +21,7 @@
     slots=6, kv_tokens=1000, stride=6, step_ms=5.0, per_seq_ms=0.5
 )
 LIMIT = datetime.timedelta(milliseconds=120)
+SECOND = datetime.timedelta(seconds=1)
 
 
 def _backend(name: str, domain: str = "d1") -> desired.Backend:
@@ -120,9 +121,10 @@
 @given(st.floats(10, 400), st.floats(1, 6))
 def test_learned_fullness_stays_between_half_and_all_slots(pause_ms, load):
     learned = pace.Pace()
-    for _ in range(50):
+    for num in range(50):
         learned.paused(
             datetime.timedelta(milliseconds=pause_ms),
+            num * SECOND,
             engine=ENGINE,
             per_engine=load,
             limit=LIMIT,
@@ -132,9 +134,10 @@
 
 def _full_after(pause_ms: float) -> float:
     learned = pace.Pace()
-    for _ in range(300):
+    for num in range(300):
         learned.paused(
             datetime.timedelta(milliseconds=pause_ms),
+            num * SECOND,
             engine=ENGINE,
             per_engine=4.0,
             limit=LIMIT,
@@ -146,11 +149,34 @@
     assert _full_after(110.0) < _full_after(85.0) < _full_after(60.0)
 
 
+def _passed(learned: pace.Pace, num: int, pause_ms: float) -> float:
+    """Let one pass go by that three streams feel."""
+    for _ in range(3):
+        learned.paused(
+            datetime.timedelta(milliseconds=pause_ms),
+            num * SECOND,
+            engine=ENGINE,
+            per_engine=4.0,
+            limit=LIMIT,
+        )
+    return learned.full(ENGINE, LIMIT)
+
+
+def test_jump_of_passes_is_followed_within_three():
+    learned = pace.Pace()
+    before = [_passed(learned, num, 60.0) for num in range(50)][-1]
+    after = [_passed(learned, num, 120.0) for num in range(50, 53)]
+    least = _full_after(120.0)
+    assert after == sorted(after, reverse=True)
+    assert after[-1] - least < (before - least) / 2
+
+
 def test_pause_of_a_fault_teaches_nothing():
     learned = pace.Pace()
     before = learned.full(ENGINE, LIMIT)
     learned.paused(
         datetime.timedelta(seconds=2),
+        SECOND,
         engine=ENGINE,
         per_engine=1.0,
         limit=LIMIT,
