Tell other domains less often and through one process each

Each of 32 processes told each other one of every request, up to 20 times a second, and each had two reads waiting at the store, all woken by each change.

Change: another domain is told 0.2 s apart, one live process there by turns, which passes it on within its domain, where bytes cost nothing; what is urgent (outages, versions, leases, leaving) goes to all at once. Who is in a domain with two others that the store answers asks these in place of the store, and reads there again 1.1 s after they fall silent.

Ruled out: a relay chosen for each domain, whose loss would silence the domain until another is chosen.

The small sites have two processes a domain: nothing changes there but bytes.

--- a/src/lugcross/edge/app.py
+++ b/src/lugcross/edge/app.py
@@ -103,11 +103,13 @@
         pool = self.world.pool
         reports = engines_lib.Caller(pool, answer_s=engines_lib.REPORT_S)
         orders = engines_lib.Caller(pool, answer_s=engines_lib.ORDER_S)
+        urgent = functools.partial(self.knowledge.peers.changed, urgent=True)
         self._duty = duty_lib.Duty(
             experts.Lease(self.knowledge.incarnation, clock),
             self._store,
             self.knowledge,
             fenced=lambda: self.world.bounds.fenced,
+            changed=urgent,
         )
         self._maps = maps_lib.Maps(
             self.world,
@@ -116,7 +118,7 @@
             sleep=asyncio.sleep,
             duty=self._duty,
             owner=experts.Owner(rng.getrandbits(_OWNER_BITS)),
-            changed=self.knowledge.peers.changed,
+            changed=urgent,
             node=settings.node,
             cfg=settings.maps,
         )
@@ -189,6 +191,7 @@
             known.trouble,
             gap=_DESIRED_GAP,
             wait=lambda: self._wait(world.bounds.change),
+            rests=known.rests,
         )
         backends_follower = follow.Follower(
             self._store,
@@ -197,6 +200,7 @@
             known.trouble,
             gap=_BACKENDS_GAP,
             wait=lambda: self._wait(world.bounds.drain),
+            rests=known.rests,
         )
         return [
             desired_follower.run(),
--- a/src/lugcross/edge/duty.py
+++ b/src/lugcross/edge/duty.py
@@ -42,6 +42,7 @@
     """This process's part in the duty.
 
     :param fenced: whether orders must carry a number now.
+    :param changed: called when the lease was got or lost.
     :param busy: whether something is under way that must end first.
     """
 
@@ -52,7 +53,9 @@
         claimants: Claimants,
         *,
         fenced: Callable[[], bool],
+        changed: Callable[[], None],
     ) -> None:
+        self._changed = changed
         self._lease = lease
         self._store = store
         self._claimants = claimants
@@ -116,6 +119,7 @@
             logging.info(
                 "lease", extra={"generation": self._lease.held, "was": held}
             )
+            self._changed()
 
     def _wants(self) -> bool:
         if not self._claimants.fit():
--- a/src/lugcross/edge/follow.py
+++ b/src/lugcross/edge/follow.py
@@ -17,6 +17,8 @@
 #: Wait after a call that failed; twice as long after each further one.
 _RETRY_FIRST_S = 0.1
 _RETRY_MOST_S = 1.0
+#: Time between two looks whether reading is needed again, in seconds.
+_REST_S = 0.25
 
 
 @final
@@ -64,6 +66,7 @@
 
     :param gap: shortest time between two reads.
     :param wait: how long the next read waits for news at the store.
+    :param rests: whether peers tell the news, so that no read is needed.
     """
 
     def __init__(
@@ -75,7 +78,9 @@
         *,
         gap: datetime.timedelta,
         wait: Callable[[], datetime.timedelta],
+        rests: Callable[[], bool] = lambda: False,
     ) -> None:
+        self._rests = rests
         self._store = store
         self._topic = topic
         self._take = take
@@ -88,6 +93,9 @@
         """Follow the topic until cancelled."""
         retry = _RETRY_FIRST_S
         while True:
+            if self._next is not None and self._rests():
+                await asyncio.sleep(_REST_S)
+                continue
             try:
                 await self._read()
                 self._trouble.worked()
--- a/src/lugcross/edge/knowledge.py
+++ b/src/lugcross/edge/knowledge.py
@@ -14,6 +14,7 @@
 from lugcross import desired
 from lugcross.edge import follow
 from lugcross.edge import peers as peers_lib
+from lugcross.edge import readers
 from lugcross.edge import settings as settings_lib
 from lugcross.edge import world as world_lib
 from lugcross import errors
@@ -79,6 +80,7 @@
             self._tell,
             self._heard,
             own=settings.listen.peers,
+            domain=settings.domain,
             clock=clock,
         )
         world.known_peers = self.peers.known
@@ -106,7 +108,7 @@
     def leave(self) -> None:
         """Tell the peers that this process is being stopped."""
         self._leaving = True
-        self.peers.changed()
+        self.peers.changed(urgent=True)
 
     def close(self) -> None:
         """Stop listening."""
@@ -142,6 +144,16 @@
         beats = self._live_beats(_LEASE_SILENT)
         return any(beat.generation for beat in beats)
 
+    def rests(self) -> bool:
+        """Tell whether peers of this domain ask the store for this one."""
+        peers = [
+            readers.Reader(beat.incarnation, beat.reads)
+            for beat in self._live_beats(_DUTY_SILENT)
+            if beat.domain == self._settings.domain
+        ]
+        own = readers.Reader(self._incarnation, not self.trouble.now)
+        return not readers.asks(own, peers)
+
     def _live_beats(self, silent: datetime.timedelta) -> list[peers_lib.Beat]:
         """Return the newest news of peers that may have the duty."""
         return [
@@ -175,7 +187,7 @@
             logging.error("desired state kept out", extra={"why": str(exc)})
             return
         if self._world.adopt(state, record):
-            self.peers.changed()
+            self.peers.changed(urgent=True)
 
     def _tell(self, known: list[str]) -> peers_lib.Beat:
         _, port = address.split(self._settings.listen.state)
@@ -195,6 +207,7 @@
             since_ms=0 if self.unfit() else self._since_ms,
             broken=[str(key) for key in self.seen_broken()],
             generation=self.generation() or 0,
+            reads=not self.trouble.now,
         )
 
     def _heard(self, peer: peers_lib.Peer) -> None:
@@ -239,7 +252,7 @@
             values = [record.value for record in tail.records]
             for found in peers_lib.node_addresses(values):
                 self.peers.add(found)
-            self.peers.changed()
+            self.peers.changed(urgent=True)
             return
 
     async def _ask_when_behind(self) -> None:
@@ -261,7 +274,8 @@
 
     def _lost(self) -> bool:
         """Tell whether there is no use in waiting for the store."""
-        return self.trouble.now or self._world.backends.age() > _OLD
+        old = self._world.backends.age() > _OLD
+        return self.trouble.now or old or self.rests()
 
     def _version(self) -> int:
         state = self._world.desired
--- a/src/lugcross/edge/peers.py
+++ b/src/lugcross/edge/peers.py
@@ -9,6 +9,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Iterable
 import dataclasses
 import datetime
 from typing import cast
@@ -26,6 +27,13 @@
 #: Shortest time between two datagrams to one peer; news in between wait
 #: for the next. A small part of a stream's life.
 _SPACING = datetime.timedelta(milliseconds=50)
+#: The same to another failure domain, where bytes are priced and requests
+#: mostly go to other servers: a tenth of a stream's life, in which few of
+#: its requests have changed.
+_FAR_SPACING = datetime.timedelta(milliseconds=200)
+#: Silence after which a peer is not relied on to pass news on; it would
+#: take a part of them with it.
+_PASSING = datetime.timedelta(milliseconds=600)
 #: Longest time between two datagrams to one peer.
 _HEARTBEAT = datetime.timedelta(milliseconds=500)
 #: Silence after which a peer counts as lost; several heartbeats.
@@ -54,6 +62,10 @@
         after expert maps; 0 if it cannot now.
     :param broken: backend servers that it has seen in broken groups.
     :param generation: number of its lease of expert maps; 0 without one.
+    :param reads: whether the store answered its last call.
+    :param pass_on: whether the receiver should pass it on to its domain.
+    :param number: rises with each datagram of an incarnation: one that was
+        passed on may arrive after a later one.
     """
 
     node: str
@@ -68,6 +80,24 @@
     since_ms: int = 0
     broken: list[str] = []
     generation: int = 0
+    reads: bool = False
+    pass_on: bool = False
+    number: int = 0
+
+
+@final
+class PassedOn(msgspec.Struct, frozen=True, array_like=True):
+    """A datagram of another failure domain, passed on within this one.
+
+    :param origin: who sent it, ``HOST:PORT``.
+    """
+
+    origin: str
+    beat: Beat
+
+
+#: Fields of a :class:`PassedOn`, by which it is told from a :class:`Beat`.
+_PASSED_FIELDS = 2
 
 
 @final
@@ -107,6 +137,11 @@
     heard: clock_lib.Instant | None = None
     added: clock_lib.Instant = datetime.timedelta()
 
+    @property
+    def domain(self) -> str | None:
+        """Its failure domain; none while it is not known."""
+        return None if self.beat is None else self.beat.domain
+
 
 #: Fills in the sender's own part of a datagram.
 Teller = Callable[[list[str]], Beat]
@@ -118,6 +153,7 @@
 
     :param tell: makes the datagram to send.
     :param heard: called with each datagram of a peer.
+    :param domain: failure domain of this process.
     """
 
     def __init__(
@@ -126,8 +162,14 @@
         heard: Callable[[Peer], None],
         *,
         own: str,
+        domain: str,
         clock: clock_lib.Clock,
     ) -> None:
+        self._domain = domain
+        self._urgent = False
+        #: When each other domain was told last, and by whose hands.
+        self._far_told: dict[str, clock_lib.Instant] = {}
+        self._far_turn = 0
         self._tell = tell
         self._heard = heard
         self._own = own
@@ -145,14 +187,34 @@
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Take a datagram; a malformed one is dropped."""
         try:
-            beat = msgspec.convert(cbor2.loads(data), Beat)
+            got = _decode(data)
         except (cbor2.CBORDecodeError, msgspec.ValidationError) as exc:
             logging.warning(
                 "bad datagram", extra={"peer": addr[0], "why": str(exc)}
             )
             return
-        peer = self._note(f"{addr[0]}:{addr[1]}")
-        if peer.beat is None or peer.beat.incarnation != beat.incarnation:
+        if isinstance(got, PassedOn):
+            if got.origin != self._own:
+                self._take(got.origin, got.beat)
+            return
+        origin = f"{addr[0]}:{addr[1]}"
+        self._take(origin, got)
+        if got.pass_on:
+            self._pass_on(PassedOn(origin, got))
+
+    def _pass_on(self, passed: PassedOn) -> None:
+        """Tell the peers of this domain what one of another has sent."""
+        data = cbor2.dumps(msgspec.to_builtins(passed))
+        for peer in self._peers.values():
+            if peer.domain == self._domain:
+                self._send_to(peer, data)
+
+    def _take(self, origin: str, beat: Beat) -> None:
+        peer = self._note(origin)
+        same = peer.beat and peer.beat.incarnation == beat.incarnation
+        if same and peer.beat and beat.number < peer.beat.number:
+            return
+        if not same:
             logging.info(
                 "peer", extra={"peer": beat.node, "domain": beat.domain}
             )
@@ -171,8 +233,13 @@
         """Note an address where a peer may be."""
         self._note(address)
 
-    def changed(self) -> None:
-        """Note that there is news to tell soon."""
+    def changed(self, *, urgent: bool = False) -> None:
+        """Note that there is news to tell soon.
+
+        :param urgent: whether other failure domains must hear of it as
+            soon as this one.
+        """
+        self._urgent = self._urgent or urgent
         self._news.set()
 
     def known(self) -> int:
@@ -197,23 +264,57 @@
             except TimeoutError:
                 self._forget()
             self._news.clear()
-            self._send()
+            self.send_due()
             await asyncio.sleep(_SPACING.total_seconds())
 
     def tell_now(self) -> None:
         """Tell all peers at once; used for the last words."""
-        self._send()
+        self._urgent = True
+        self.send_due()
 
-    def _send(self) -> None:
+    def send_due(self) -> None:
+        """Tell each peer that is to hear something now."""
         if self._transport is None:
             return
         names = list(self._peers)
         self._turn += 1
         start = self._turn % max(1, len(names))
         known = (names[start:] + names[:start])[:_ADDRESSES]
-        beat = self._tell(known if self._turn % 8 == 0 else [])
+        told = self._tell(known if self._turn % 8 == 0 else [])
+        beat = msgspec.structs.replace(told, number=self._turn)
         data = cbor2.dumps(msgspec.to_builtins(beat))
         for peer in self._peers.values():
+            if self._urgent or peer.domain in (None, self._domain):
+                self._send_to(peer, data)
+        self._urgent = False
+        self._tell_far(msgspec.structs.replace(beat, pass_on=True))
+
+    def _tell_far(self, beat: Beat) -> None:
+        """Tell one peer of each other domain that is due, by turns."""
+        now = self._clock.monotonic()
+        # Without a live peer in a domain any is told: who waits to be told
+        # first would wait for ever after a cut.
+        far = self._far(self._peers.values())
+        far.update(self._far(self.live(_PASSING)))
+        data = cbor2.dumps(msgspec.to_builtins(beat))
+        for domain, peers in far.items():
+            last = self._far_told.get(domain)
+            if last is not None and now - last < _FAR_SPACING:
+                continue
+            self._far_told[domain] = now
+            self._far_turn += 1
+            self._send_to(peers[self._far_turn % len(peers)], data)
+
+    def _far(self, peers: Iterable[Peer]) -> dict[str, list[Peer]]:
+        """Return the peers of other failure domains, by domain."""
+        found: dict[str, list[Peer]] = {}
+        for peer in peers:
+            if peer.domain is not None and peer.domain != self._domain:
+                found.setdefault(peer.domain, []).append(peer)
+        return found
+
+    def _send_to(self, peer: Peer, data: bytes) -> None:
+        if self._transport is not None:
             self._transport.sendto(data, (peer.host, peer.port))
 
     def _note(self, address: str) -> Peer:
@@ -299,6 +400,13 @@
         return None
 
 
+def _decode(data: bytes) -> Beat | PassedOn:
+    raw = cbor2.loads(data)
+    if isinstance(raw, list) and len(raw) == _PASSED_FIELDS:
+        return msgspec.convert(raw, PassedOn)
+    return msgspec.convert(raw, Beat)
+
+
 def node_addresses(records: list[bytes]) -> list[str]:
     """Return the addresses in the records by which processes register."""
     found = []
--- a/testing/edge/test_claimants.py
+++ b/testing/edge/test_claimants.py
@@ -124,3 +124,42 @@
     node.known.heard_generation = heard.append
     node.hear(generation=3)
     assert heard == [3]
+
+
+def _hear_readers(node: Node, domain: str, *, reads: bool = True) -> None:
+    """Take datagrams of two processes that come first by their names."""
+    for num in range(2):
+        beat = peers_lib.Beat(
+            node=f"r{num}",
+            incarnation=f"!{num}",
+            domain=domain,
+            state_port=1,
+            leaving=False,
+            version=0,
+            end=0,
+            running={},
+            known=[],
+            reads=reads,
+        )
+        data = cbor2.dumps(msgspec.to_builtins(beat))
+        node.known.peers.datagram_received(data, (f"10.0.1.{num}", 9))
+
+
+@pytest.mark.parametrize(
+    ("domain", "reads", "rests"),
+    [("d1", True, True), ("d2", True, False), ("d1", False, False)],
+    ids=["near", "far", "store-away"],
+)
+def test_store_is_left_to_two_readers_of_the_same_domain(
+    domain: str, reads: bool, rests: bool
+) -> None:
+    node = Node(fenced=False)
+    _hear_readers(node, domain, reads=reads)
+    assert node.known.rests() == rests
+
+
+def test_store_is_asked_again_once_the_readers_are_silent() -> None:
+    node = Node(fenced=False)
+    _hear_readers(node, "d1")
+    node.clock.advance(1100 * MS)
+    assert not node.known.rests()
--- a/testing/edge/test_duty.py
+++ b/testing/edge/test_duty.py
@@ -41,8 +41,12 @@
         self.store = store
         self.clock = clock_lib.ManualClock()
         self.fenced = True
+        self.news = 0
         self.client = platform.StoreClient(address, timeout=LONG)
 
+    def _changed(self) -> None:
+        self.news += 1
+
     def process(self, name: str) -> tuple[duty_lib.Duty, Claimants]:
         claimants = Claimants()
         duty = duty_lib.Duty(
@@ -50,6 +54,7 @@
             self.client,
             claimants,
             fenced=lambda: self.fenced,
+            changed=self._changed,
         )
         return duty, claimants
 
@@ -121,6 +126,8 @@
         await rounds(new)
         assert new.generation() == 2
         assert old.generation() is None
+        # Peers hear of each claim and of the release.
+        assert rig.news == 3
 
     run(act)
 
--- a/testing/edge/test_knowledge.py
+++ b/testing/edge/test_knowledge.py
@@ -9,6 +9,7 @@
 
 import cbor2
 import edge_rig
+import msgspec
 
 from lugcross import clock as clock_lib
 from lugcross import desired
@@ -206,6 +207,7 @@
         lambda known: None,
         lambda peer: None,
         own="127.0.0.1:1",
+        domain="d1",
         clock=clock_lib.ManualClock(),
     )
     for data in (b"", b"\xff", cbor2.dumps({"a": 1}), cbor2.dumps([1])):
@@ -221,3 +223,116 @@
     assert loads.busy(key) == 3
     clock.advance(datetime.timedelta(seconds=2))
     assert loads.busy(key) == 0
+
+
+class _Wire:
+    """Takes the place of the socket for datagrams."""
+
+    def __init__(self) -> None:
+        self.sent: list[tuple[str, bytes]] = []
+
+    def sendto(self, data: bytes, to: tuple[str, int]) -> None:
+        self.sent.append((to[0], data))
+
+    def count(self, *hosts: str) -> int:
+        return sum(1 for host, _ in self.sent if host in hosts)
+
+
+def _beat(node: str, domain: str, **fields: object) -> peers_lib.Beat:
+    return peers_lib.Beat(node, node, domain, 1, False, 0, 0, {}, [], **fields)
+
+
+def _encoded(message: msgspec.Struct) -> bytes:
+    return cbor2.dumps(msgspec.to_builtins(message))
+
+
+class _Gossip:
+    """One process's peers, by hand: two in its own domain, two in another."""
+
+    def __init__(self) -> None:
+        self.clock = clock_lib.ManualClock()
+        self.wire = _Wire()
+        self.peers = peers_lib.Peers(
+            lambda known: _beat("own", "d1"),
+            lambda peer: None,
+            own="own:9",
+            domain="d1",
+            clock=self.clock,
+        )
+        self.peers.connection_made(self.wire)
+        for host, domain in (
+            ("near1", "d1"),
+            ("near2", "d1"),
+            ("far1", "d2"),
+            ("far2", "d2"),
+        ):
+            self.hear(host, _beat(host, domain))
+
+    def hear(self, host: str, message: msgspec.Struct) -> None:
+        self.peers.datagram_received(_encoded(message), (host, 9))
+
+    def tell(self, count: int, *, urgent: bool = False) -> None:
+        for _ in range(count):
+            self.peers.changed(urgent=urgent)
+            self.peers.send_due()
+            self.clock.advance(datetime.timedelta(milliseconds=50))
+
+
+def test_other_domains_hear_less_often_and_by_turns():
+    gossip = _Gossip()
+    gossip.tell(8)
+    assert gossip.wire.count("near1") == gossip.wire.count("near2") == 8
+    assert gossip.wire.count("far1") == gossip.wire.count("far2") == 1
+
+
+def test_everyone_hears_at_once_of_what_is_urgent():
+    gossip = _Gossip()
+    gossip.tell(1)
+    before = gossip.wire.count("far1", "far2")
+    gossip.tell(1, urgent=True)
+    assert gossip.wire.count("far1", "far2") == before + 2
+
+
+def test_domain_that_is_silent_is_told_all_the_same():
+    gossip = _Gossip()
+    gossip.clock.advance(datetime.timedelta(seconds=30))
+    gossip.tell(8)
+    assert gossip.wire.count("far1", "far2") == 2
+
+
+def test_news_of_another_domain_are_passed_on_within_this_one():
+    gossip = _Gossip()
+    beat = _beat("far1", "d2", pass_on=True, number=3)
+    gossip.hear("far1", beat)
+    passed = _encoded(peers_lib.PassedOn("far1:9", beat))
+    assert gossip.wire.sent == [("near1", passed), ("near2", passed)]
+
+
+def test_news_that_were_passed_on_count_as_their_senders():
+    gossip = _Gossip()
+    gossip.clock.advance(datetime.timedelta(seconds=30))
+    beat = _beat("far3", "d2", generation=7, pass_on=True)
+    gossip.hear("near1", peers_lib.PassedOn("far3:9", beat))
+    live = gossip.peers.live()
+    assert [(peer.host, peer.beat.generation) for peer in live] == [
+        ("far3", 7)
+    ]
+    # Passed on once only.
+    assert not gossip.wire.sent
+
+
+def test_own_news_that_come_back_are_dropped():
+    gossip = _Gossip()
+    before = gossip.peers.known()
+    beat = _beat("own", "d1")
+    gossip.hear("near1", peers_lib.PassedOn("own:9", beat))
+    assert gossip.peers.known() == before
+
+
+def test_older_news_never_replace_newer_ones():
+    gossip = _Gossip()
+    gossip.hear("far1", _beat("far1", "d2", number=5, generation=2))
+    old = _beat("far1", "d2", number=4, generation=1)
+    gossip.hear("near1", peers_lib.PassedOn("far1:9", old))
+    numbers = {p.host: p.beat.generation for p in gossip.peers.live()}
+    assert numbers["far1"] == 2
