Split off who asks ranks and who keeps switches from the maps

maps.py had grown to 445 lines with three jobs: rounds and plans, asking ranks, keeping what is under way. Looks and Switches take two of them; nothing else changes, and the tests keep their assertions.

--- a/src/lugcross/edge/app.py
+++ b/src/lugcross/edge/app.py
@@ -122,8 +122,8 @@
             node=settings.node,
             cfg=settings.maps,
         )
-        self._duty.busy = self._maps.is_busy
-        self.knowledge.unfit = self._maps.is_stuck
+        self._duty.busy = self._maps.switches.is_busy
+        self.knowledge.unfit = self._maps.switches.is_stuck
         self.knowledge.generation = self._duty.generation
         self.knowledge.heard_generation = self._duty.heard
         self.knowledge.seen_broken = self._maps.seen_broken
--- a/src/lugcross/edge/maps.py
+++ b/src/lugcross/edge/maps.py
@@ -3,9 +3,7 @@
 
 import asyncio
 from collections.abc import Callable
-from collections.abc import Coroutine
 import datetime
-from typing import Any
 from typing import final
 
 from absl import logging
@@ -14,8 +12,10 @@
 from lugcross import desired
 from lugcross.edge import duty as duty_lib
 from lugcross.edge import groups as groups_lib
+from lugcross.edge import looks as looks_lib
 from lugcross.edge import settings as settings_lib
 from lugcross.edge import sight as sight_lib
+from lugcross.edge import switches as switches_lib
 from lugcross.edge import switching
 from lugcross.edge import world as world_lib
 from lugcross import experts
@@ -30,17 +30,9 @@
 #: Time between two looks at a group; a report costs as much as a health
 #: check, and what it tells changes only with faults.
 _LOOK = datetime.timedelta(milliseconds=500)
-#: Ranks that are asked for the state of a group where one is not enough:
-#: the first may be the one that is cut off.
-_ASKED = 3
-#: Time between two rounds of asking who is which rank of which group.
-_PLACE = datetime.timedelta(seconds=1)
 #: How long a pass held by someone else is left alone: a switch releases
 #: it within some tens of milliseconds, reports are some hundred old.
 _LEFT_AFTER = datetime.timedelta(milliseconds=400)
-#: How long a process that could not finish a switch leaves the duty to
-#: others; as long as most cuts of single hosts last.
-_UNFIT = datetime.timedelta(seconds=10)
 #: Longest time that planning blocks its process, past one of its steps:
 #: a few requests' worth of work.
 _PLAN_SLICE = datetime.timedelta(milliseconds=5)
@@ -81,15 +73,18 @@
         world.on_pause = self._paused
         self._clock = clock
         self._duty = duty
-        self._owner = owner
-        self._engines = engines
         self._sleep = sleep
         self._groups = groups_lib.Groups()
         self._sight = sight_lib.Sight(engines, clock)
-        self._tasks: set[asyncio.Task[None]] = set()
-        self._drivers: dict[str, switching.Driver] = {}
-        self._placed_at: dict[ids.ServiceName, clock_lib.Instant] = {}
-        self._stuck_at: clock_lib.Instant | None = None
+        self._looks = looks_lib.Looks(engines, self._groups, clock)
+        self.switches = switches_lib.Switches(
+            engines,
+            self._looks,
+            owner=owner,
+            duty=duty,
+            clock=clock,
+            sleep=sleep,
+        )
         self._had = False
 
     def _paused(
@@ -106,15 +101,6 @@
             )
             self._sight.jumped(group.service, pause * _SETTLE_PASSES)
 
-    def is_stuck(self) -> bool:
-        """Tell whether a switch did not get on lately.
-
-        Another process may reach the ranks that this one cannot.
-        """
-        if self._stuck_at is None:
-            return False
-        return self._clock.monotonic() - self._stuck_at < _UNFIT
-
     def seen_broken(self) -> list[desired.BackendKey]:
         """Return the servers whose groups this process saw broken."""
         return self._groups.broken() if self._had else []
@@ -138,15 +124,6 @@
         self._sight.clear()
         logging.info("duty of expert maps", extra={"mine": mine})
 
-    def is_busy(self) -> bool:
-        """Tell whether a switch is under way."""
-        return bool(self._tasks)
-
-    async def idle(self) -> None:
-        """Return once no switch is under way."""
-        while self._tasks:
-            await asyncio.wait(self._tasks)
-
     async def round(self) -> None:
         """Look once at all that is due."""
         self._note_duty(self._duty.mine())
@@ -174,7 +151,7 @@
         groups = self._groups.of(service)
         await asyncio.gather(
             self._sight.look(service, groups, limits),
-            self._place(self._groups.unplaced(backends), engine),
+            self._looks.place(self._groups.unplaced(backends), engine),
             *map(self._look, groups),
         )
         for group in groups:
@@ -188,72 +165,24 @@
                 group.planned_at = seen.at
                 await self._consider(group, seen.uses)
 
-    async def _place(
-        self, backends: list[desired.Backend], engine: desired.Engine
-    ) -> None:
-        if not backends:
-            return
-        now = self._clock.monotonic()
-        last = self._placed_at.get(backends[0].service)
-        if last is not None and now - last < _PLACE:
-            return
-        self._placed_at[backends[0].service] = now
-        reports = await asyncio.gather(*map(self._report, backends))
-        for backend, report in zip(backends, reports, strict=True):
-            if report is not None:
-                self._groups.place(backend, report, engine)
-
-    async def _report(self, backend: desired.Backend) -> experts.Report | None:
-        try:
-            return await self._engines.report(backend)
-        except platform.EngineError as exc:
-            logging.info(
-                "engine did not report",
-                extra={"backend": backend.key, "why": str(exc)},
-            )
-            return None
-
     async def _look(self, group: groups_lib.Group) -> None:
         now = self._clock.monotonic()
         if not group.members or not group.look_due(now, _LOOK):
             return
         was_open = group.is_open
-        await self._ask_ranks(group)
+        await self._looks.ask_ranks(group)
         if group.is_open != was_open:
             self._note_state(group)
         if group.busy or not group.is_open or not group.whole:
             return
         if group.used is None:
-            group.used = await self._read_map(group)
+            group.used = await self._looks.read_map(group)
         leased = self._duty.generation() is not None
         # With a lease of our own, whoever held it before cannot go on.
         at_once = leased and not group.touched
         after = datetime.timedelta() if at_once else _LEFT_AFTER
         if group.hold_is_left(now, after):
-            self._start(group, self._finish(group))
-
-    async def _ask_ranks(self, group: groups_lib.Group) -> None:
-        """Take over what a few ranks tell; one of them may be cut off."""
-        ranks = group.sample(1 if group.is_open else _ASKED)
-        reports = await self._reports(group, ranks)
-        if not reports:
-            rest = group.sample(_ASKED)
-            reports = await self._reports(group, rest)
-        now = self._clock.monotonic()
-        if not reports:
-            group.lost(now)
-        for report in reports:
-            group.take(report, now)
-
-    async def _reports(
-        self, group: groups_lib.Group, ranks: list[experts.Rank]
-    ) -> list[experts.Report]:
-        found = await asyncio.gather(
-            *(self._report(group.members[rank]) for rank in ranks)
-        )
-        return [
-            one for one in found if one is not None and one.group == group.name
-        ]
+            self.switches.finish(group)
 
     def _note_state(self, group: groups_lib.Group) -> None:
         logging.info(
@@ -263,23 +192,6 @@
         self._world.outages.told(self._node, self.seen_broken())
         self._changed()
 
-    async def _read_map(
-        self, group: groups_lib.Group
-    ) -> experts.ExpertMap | None:
-        try:
-            ranks = await asyncio.gather(
-                *(
-                    self._engines.held_experts(group.members[rank])
-                    for rank in sorted(group.members)
-                )
-            )
-        except platform.EngineError as exc:
-            logging.info(
-                "map not known", extra={"group": group.name, "why": str(exc)}
-            )
-            return None
-        return experts.ExpertMap(tuple(ranks))
-
     async def _plan(
         self, group: groups_lib.Group, uses: experts.Demand
     ) -> experts.Plan:
@@ -312,7 +224,7 @@
         skew = experts.skew(uses, copying)
         saving = experts.saving(skew, plan.skew_after, group.limits.share)
         if saving >= self.cfg.least_saving:
-            self._drivers[group.name].abandon()
+            self.switches.abandon(group)
             # Planned anew by the same reading, once it is left.
             group.planned_at = None
 
@@ -336,110 +248,4 @@
             },
         )
         if worth:
-            self._start(group, self._change(group, plan))
-
-    def _start(
-        self,
-        group: groups_lib.Group,
-        work: Coroutine[Any, Any, None],
-    ) -> None:
-        group.busy = group.touched = True
-        task = asyncio.create_task(self._work_on(group, work))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
-    async def _work_on(
-        self, group: groups_lib.Group, work: Coroutine[Any, Any, None]
-    ) -> None:
-        try:
-            await work
-        except Exception:
-            # Whoever looks next finds what this one may have left held.
-            logging.exception("a switch failed", extra={"group": group.name})
-        finally:
-            group.busy = False
-            group.looked_at = None
-            group.hold_seen = None
-
-    async def _change(
-        self, group: groups_lib.Group, plan: experts.Plan
-    ) -> None:
-        assert group.used is not None
-        switch = experts.Switch(
-            size=group.size,
-            version=self._owner.version(group.newest),
-            after=plan.next,
-            before=group.used,
-            owner=self._owner,
-            since=group.step,
-        )
-        await self._drive(group, switch, plan)
-
-    async def _finish(self, group: groups_lib.Group) -> None:
-        """Finish what another process has left half done."""
-        assert group.hold_seen is not None
-        step = group.hold_seen[0]
-        reports = [
-            one
-            for one in await asyncio.gather(
-                *map(self._report, group.members.values())
-            )
-            if one is not None
-        ]
-        group.newest = max([group.newest, *(one.newest for one in reports)])
-        armed = [
-            one.armed.version
-            for one in reports
-            if one.armed is not None and one.armed.step == step
-        ]
-        used = group.used or await self._read_map(group)
-        if used is None:
-            return
-        logging.warning(
-            "held pass was left",
-            extra={"group": group.name, "step": step, "armed": len(armed)},
-        )
-        switch = experts.Switch.found(
-            size=group.size,
-            newest=group.newest,
-            armed=max(armed, default=None),
-            step=step,
-            before=used,
-            owner=self._owner,
-        )
-        await self._drive(group, switch, None)
-        group.used = None
-
-    async def _drive(
-        self,
-        group: groups_lib.Group,
-        switch: experts.Switch,
-        plan: experts.Plan | None,
-    ) -> None:
-        generation = self._duty.generation()
-        if generation is not None:
-            self._owner.take_turn(generation)
-        driver = switching.Driver(
-            self._engines, group, self._duty, self._clock, self._sleep
-        )
-        self._drivers[group.name] = driver
-        group.copying = plan.next if plan else None
-        try:
-            finished = await driver.run(switch, plan.copies if plan else 0)
-        finally:
-            group.copying = None
-            del self._drivers[group.name]
-        if not finished:
-            self._stuck_at = self._clock.monotonic()
-        logging.info(
-            "expert map switched",
-            extra={
-                "group": group.name,
-                "version": switch.version,
-                "step": switch.step,
-                "outcome": switch.outcome.value,
-                "finished": finished,
-            },
-        )
-        if plan and switch.outcome is experts.Outcome.SWITCHED:
-            group.switched(switch.version, plan.next)
+            self.switches.change(group, plan)
--- a/testing/edge/test_maps.py
+++ b/testing/edge/test_maps.py
@@ -190,7 +190,7 @@
             self.clock.advance(SECOND)
             self.engines.passed(1.0)
             await self.maps.round()
-            await self.maps.idle()
+            await self.maps.switches.idle()
 
 
 def run(
@@ -343,9 +343,9 @@
         rig.engines.deaf = {2}
         group = rig.engines.group
         group.obey(0, experts.Hold(experts.Step(group.step + 9)), group.epoch)
-        assert not rig.maps.is_stuck()
+        assert not rig.maps.switches.is_stuck()
         await rig.rounds(3)
-        assert rig.maps.is_stuck()
+        assert rig.maps.switches.is_stuck()
 
     run(act)
 
@@ -433,7 +433,7 @@
         rig.engines.order = taken
         await rig.rounds(4)
         assert len(rig.engines.orders) == SIZE
-        assert rig.maps.is_stuck()
+        assert rig.maps.switches.is_stuck()
 
     run(act)
 
@@ -506,13 +506,13 @@
     async def act(rig: Rig) -> None:
         jumping = Jumping(rig)
         released = asyncio.Event()
-        sleep = rig.maps._sleep
+        sleep = rig.maps.switches._sleep
 
         async def held(seconds: float) -> None:
             await released.wait()
             await sleep(seconds)
 
-        rig.maps._sleep = held
+        rig.maps.switches._sleep = held
         for _ in range(4):
             rig.clock.advance(SECOND)
             jumping.passed(0.1)
@@ -528,7 +528,7 @@
         await jumping.short_rounds(3)
         released.set()
         jumping.copied()
-        await rig.maps.idle()
+        await rig.maps.switches.idle()
         armed = {
             one.version
             for one in rig.engines.orders
@@ -549,7 +549,7 @@
         for _ in range(3):
             rig.clock.advance(datetime.timedelta(milliseconds=50))
             await rig.maps.round()
-            await rig.maps.idle()
+            await rig.maps.switches.idle()
         assert group.begin_pass() == leased
 
     run(act)
