--- a/src/lugcross/edge/lifecycle.py
+++ b/src/lugcross/edge/lifecycle.py
@@ -9,9 +9,6 @@
 import enum
 from typing import final
 
-#: Sends past a route's attempts that servers may refuse as not run to a
-#: stream that has begun: its group has just formed, or is just breaking.
-MAX_RESUMES_REFUSED = 3
 #: Connections that may fail to come up for one request. Nothing was sent,
 #: so only the time spent counts; past this the fault is likely here.
 MAX_UNREACHED = 4
@@ -57,7 +54,6 @@
     :param repeatable: whether running it twice does no harm.
     :param attempts: backend servers that it may be sent to.
     :param sent: backend servers that it was sent to.
-    :param ran: those of them that may have run it.
     :param unreached: connections that failed to come up.
     :param maybe_ran: whether an attempt may have run.
     :param begun: whether the caller has part of the answer.
@@ -66,7 +62,6 @@
     repeatable: bool
     attempts: int
     sent: int = 0
-    ran: int = 0
     unreached: int = 0
     maybe_ran: bool = False
     begun: bool = False
@@ -79,7 +74,6 @@
     return dataclasses.replace(
         state,
         sent=state.sent + 1,
-        ran=state.ran + (event is not Event.NOT_RUN),
         maybe_ran=state.maybe_ran or event is not Event.NOT_RUN,
     )
 
@@ -91,19 +85,6 @@
     return state.repeatable or not state.maybe_ran
 
 
-def may_resume(state: State) -> bool:
-    """Tell whether a stream that has begun may wait to go on.
-
-    Its caller has a part already and nothing to gain by hearing at once
-    that the rest is lost, while its group may form anew in time. What
-    refused it did not run it, and does not count as an attempt.
-    """
-    if not state.begun or not state.repeatable:
-        return False
-    most = state.attempts + MAX_RESUMES_REFUSED
-    return state.ran < state.attempts and state.sent < most
-
-
 def decide(state: State, event: Event, *, another: bool) -> Action:
     """Return what to do after ``event``; ``state`` includes it.
 
--- a/src/lugcross/edge/runner.py
+++ b/src/lugcross/edge/runner.py
@@ -23,11 +23,6 @@
 from lugcross import platform
 
 _MS = datetime.timedelta(milliseconds=1)
-#: Longest time between two looks of a broken stream for a server to go on
-#: at, seconds: a fraction of the time in which a group forms.
-_LOOK_S = 0.25
-#: Times a route's aim that must be left for the rest of a broken stream.
-_REST_AIMS = 2.0
 
 
 @final
@@ -67,7 +62,6 @@
                 exchange,
                 plan,
                 self._changed,
-                self._closed,
                 self._rng,
             ).run()
         except refusal.RefusedError as exc:
@@ -175,11 +169,9 @@
         exchange: http1.Exchange,
         plan: attempt_lib.Plan,
         changed: Callable[[], None],
-        closed: Callable[[], bool],
         rng: random.Random,
     ) -> None:
         self._rng = rng
-        self._closed = closed
         self._world = world
         self._clock = clock
         self._plan = plan
@@ -255,10 +247,8 @@
                 another=found is not None and self._may_repeat(event),
             )
             self._log(event, backend, action)
-            if action is not lifecycle.Action.AGAIN:
-                found = await self._wait_to_resume()
-            if found is None:
-                await self._give_up(event)
+            if action is not lifecycle.Action.AGAIN or found is None:
+                await self._give_up(action, event)
                 return
             backend = found.backend
 
@@ -289,24 +279,9 @@
     def _choose(self) -> choice.Candidate | None:
         return self._world.choose(self._plan.service, self._tried)
 
-    async def _wait_to_resume(self) -> choice.Candidate | None:
-        """Return where a broken stream goes on, if it does in time."""
-        if not lifecycle.may_resume(self._state):
-            return None
-        self._tried.clear()
-        least = self._plan.route.target * _REST_AIMS
-        while self._left() > least and not self._closed():
-            await asyncio.sleep(_LOOK_S * self._rng.uniform(0.5, 1.0))
-            found = self._choose()
-            if found is None or self._verdict(back=False) is not None:
-                continue
-            broken = lifecycle.Event.BROKEN
-            if self._world.may_repeat(self._plan.service, broken):
-                return found
-        return None
-
-    async def _give_up(self, event: lifecycle.Event) -> None:
-        action = lifecycle.give_up(self._state, event)
+    async def _give_up(
+        self, action: lifecycle.Action, event: lifecycle.Event
+    ) -> None:
         if action is lifecycle.Action.PASS_ON:
             await self._answer.pass_on()
         elif action is lifecycle.Action.CUT:
--- a/testing/edge/test_answers.py
+++ b/testing/edge/test_answers.py
@@ -6,8 +6,6 @@
 import edge_rig as rig
 import pytest
 
-from lugcross.edge import runner as runner_lib
-
 E1 = b"id: 1\ndata: a\n\n"
 E2 = b"id: 2\ndata: b\n\n"
 E3 = b"id: 3\ndata: c\n\n"
@@ -203,52 +201,6 @@
     assert seen.headers[b"last-event-id"] == b"2"
 
 
-def test_stream_whose_group_breaks_goes_on_once_it_has_formed(
-    play, monkeypatch
-):
-    monkeypatch.setattr(runner_lib, "_LOOK_S", 0.0)
-
-    async def act(r):
-        serving = r.world.serving
-        looks = []
-
-        def broken_for_a_while(service):
-            looks.append(None)
-            return serving(service) if len(looks) in (1, 2) else []
-
-        r.world.serving = broken_for_a_while
-        asked = asyncio.create_task(r.ask())
-        while len(looks) < 9 and not asked.done():
-            await asyncio.sleep(0)
-        assert not asked.done()
-        r.world.serving = serving
-        got = await asked
-        return got, r.backends[0].seen[1]
-
-    scripts = [[rig.events(E1, end=False), rig.events(E2, E3, seal=b"s2")]]
-    got, seen = play(rig.STREAM, scripts, act)
-    assert (got.body, got.whole) == (E1 + E2 + E3, True)
-    assert seen.headers[b"last-event-id"] == b"1"
-
-
-def test_stream_without_time_to_go_on_is_cut_at_once(play):
-    async def act(r):
-        serving = r.world.serving
-        looks = []
-
-        def breaks(service):
-            looks.append(None)
-            return serving(service) if len(looks) <= 2 else []
-
-        r.world.serving = breaks
-        got = await r.ask(time_left=700)
-        return got.body, got.whole, len(looks)
-
-    scripts = [[rig.events(E1, end=False)]]
-    # One look after the break, one for the log line, and no further one.
-    assert play(rig.STREAM, scripts, act) == (E1, False, 4)
-
-
 def test_stream_that_may_not_go_on_ends_visibly_broken(play):
     async def act(r):
         got = await r.ask()
--- a/testing/edge/test_lifecycle.py
+++ b/testing/edge/test_lifecycle.py
@@ -53,33 +53,3 @@
         repeatable=True, attempts=2, sent=2, maybe_ran=True, begun=True
     )
     assert lifecycle.give_up(state, event) is lifecycle.Action.CUT
-
-
-BROKEN = lifecycle.Event.BROKEN
-NOT_RUN = lifecycle.Event.NOT_RUN
-
-
-@pytest.mark.parametrize(
-    ("events", "begun", "repeatable", "may"),
-    [
-        ([BROKEN], True, True, True),
-        ([BROKEN], False, True, False),
-        ([BROKEN], True, False, False),
-        ([BROKEN, BROKEN], True, True, False),
-        ([BROKEN, NOT_RUN, NOT_RUN], True, True, True),
-        ([BROKEN] + [NOT_RUN] * 4, True, True, False),
-    ],
-    ids=[
-        "broken",
-        "not-begun",
-        "once-only",
-        "ran-out",
-        "refused",
-        "too-often",
-    ],
-)
-def test_only_a_broken_stream_waits_to_go_on(events, begun, repeatable, may):
-    state = lifecycle.State(repeatable=repeatable, attempts=2, begun=begun)
-    for event in events:
-        state = lifecycle.after(state, event)
-    assert lifecycle.may_resume(state) == may
