Tell peers at once that the list of backend servers has news

With two readers of the store in a failure domain the others hear of a server that leaves from a peer's datagram. Without requests in progress the next one could be half a second away; together with the look for peers that know more that is a third of the bound on using a server that leaves. Change: records of the list make the next datagram due. The new test fails without it.

--- a/src/lugcross/edge/knowledge.py
+++ b/src/lugcross/edge/knowledge.py
@@ -179,6 +179,8 @@
             self._world.backends.replace(tail, store_was_away=away)
         else:
             self._world.backends.apply(tail, store_was_away=away)
+        if tail.records:
+            self.peers.changed()
 
     def _adopt(self, record: bytes) -> None:
         try:
--- a/testing/edge/test_claimants.py
+++ b/testing/edge/test_claimants.py
@@ -14,6 +14,7 @@
 from lugcross.edge import settings as settings_lib
 from lugcross.edge import world as world_lib
 from lugcross import experts
+from lugcross import ids
 from lugcross import platform
 
 MS = datetime.timedelta(milliseconds=1)
@@ -163,3 +164,19 @@
     _hear_readers(node, "d1")
     node.clock.advance(1100 * MS)
     assert not node.known.rests()
+
+
+def test_news_of_the_list_are_told_without_waiting_for_a_heartbeat() -> None:
+    node = Node(fenced=False)
+    told: list[None] = []
+    node.known.peers.changed = lambda: told.append(None)
+    row = platform.KeyedRecord(
+        ids.Offset(0), "i-1", b'{"service":"s","address":"10.0.0.1:80"}'
+    )
+    empty = platform.Tail(end=ids.Offset(0), records=())
+    node.known.take_backends(empty, newest=False)
+    assert not told
+    node.known.take_backends(
+        platform.Tail(end=ids.Offset(1), records=(row,)), newest=False
+    )
+    assert told
