--- a/src/lugcross/edge/app.py
+++ b/src/lugcross/edge/app.py
@@ -56,6 +56,8 @@
 _NOTICE = datetime.timedelta(seconds=3)
 #: Time between two looks at what is left to finish, in seconds.
 _DRAIN_LOOK_S = 0.05
+#: Connections that may wait to be taken: all callers that come back after
+#: a second in which this process was stopped.
 _BACKLOG = 1024
 #: Bits of the number by which this process marks its map versions.
 _OWNER_BITS = 16
--- a/src/lugcross/edge/attempt.py
+++ b/src/lugcross/edge/attempt.py
@@ -21,6 +21,7 @@
 #: What a backend server gets less than there is, so that its own answer
 #: at the deadline still arrives before ours is due.
 _ON_THE_WAY = datetime.timedelta(milliseconds=20)
+#: Type of an answer that comes in events.
 _STREAM = b"text/event-stream"
 
 
--- a/src/lugcross/edge/events.py
+++ b/src/lugcross/edge/events.py
@@ -3,7 +3,9 @@
 
 from typing import final
 
+#: End of an event, as HTML's server-sent events have it.
 _END = b"\n\n"
+#: Field that holds the id of an event.
 _ID = b"id:"
 
 
--- a/src/lugcross/edge/follow.py
+++ b/src/lugcross/edge/follow.py
@@ -16,6 +16,8 @@
 
 #: Wait after a call that failed; twice as long after each further one.
 _RETRY_FIRST_S = 0.1
+#: Longest wait after a failed call: half of the shortest bound on news, so
+#: that a store that is back is found in time.
 _RETRY_MOST_S = 1.0
 #: Time between two looks whether reading is needed again, in seconds.
 _REST_S = 0.25
