Ask peers nearby for news, and announce a version only once

Change: a peer of the same failure domain that knows more goes before one that knows more still, any of equals is asked, one far away only after two looks; a version is urgent news only for who read it at the store.

--- a/src/lugcross/edge/knowledge.py
+++ b/src/lugcross/edge/knowledge.py
@@ -167,7 +167,7 @@
         del newest
         for record in tail.records:
             if record.key == platform.DESIRED_KEY and record.value:
-                self._adopt(record.value)
+                self._adopt(record.value, urgent=True)
 
     def take_backends(self, tail: platform.Tail, newest: bool) -> None:
         """Take over records of backend servers."""
@@ -182,14 +182,18 @@
         if tail.records:
             self.peers.changed()
 
-    def _adopt(self, record: bytes) -> None:
+    def _adopt(self, record: bytes, *, urgent: bool) -> None:
+        """Put a desired state in force.
+
+        :param urgent: whether nobody else may know of it yet.
+        """
         try:
             state = platform.read_desired(record)
         except errors.ChangeError as exc:
             logging.error("desired state kept out", extra={"why": str(exc)})
             return
         if self._world.adopt(state, record):
-            self.peers.changed(urgent=True)
+            self.peers.changed(urgent=urgent)
 
     def _tell(self, known: list[str]) -> peers_lib.Beat:
         _, port = address.split(self._settings.listen.state)
@@ -269,11 +273,18 @@
         behind = False
         while True:
             await asyncio.sleep(_LOOK_S)
-            best = self._best_peer()
+            best = self.best_peer()
             was_behind, behind = behind, best is not None
-            if best is not None and best.beat and (was_behind or self._lost()):
+            if best is None or best.beat is None:
+                continue
+            # A peer nearby will know as much as one far away in a moment.
+            at_once = self._lost() and self._is_near(best.beat)
+            if was_behind or at_once:
                 await self._ask(best.host, best.beat.state_port)
 
+    def _is_near(self, beat: peers_lib.Beat) -> bool:
+        return beat.domain == self._settings.domain
+
     def _lost(self) -> bool:
         """Tell whether there is no use in waiting for the store."""
         old = self._world.backends.age() > _OLD
@@ -283,8 +294,13 @@
         state = self._world.desired
         return state.version if state else 0
 
-    def _best_peer(self) -> peers_lib.Peer | None:
-        """Return the live peer that knows most, if one knows more."""
+    def best_peer(self) -> peers_lib.Peer | None:
+        """Return a live peer that knows more, if there is one.
+
+        One of the same failure domain, where bytes cost nothing, goes
+        before one that knows more still; of equals any, so that not all
+        ask the same.
+        """
         version, end = self._version(), self._world.backends.end
         ahead = [
             peer
@@ -292,7 +308,11 @@
             if peer.beat
             and (peer.beat.version > version or peer.beat.end > end)
         ]
-        return max(ahead, key=_newness, default=None)
+        near = [one for one in ahead if one.beat and self._is_near(one.beat)]
+        some = near or ahead
+        most = max(map(_newness, some), default=None)
+        best = [one for one in some if _newness(one) == most]
+        return random.choice(best) if best else None
 
     async def _ask_seeds(self) -> None:
         for seed in self._settings.seeds:
@@ -314,7 +334,7 @@
             },
         )
         if answer.desired:
-            self._adopt(answer.desired)
+            self._adopt(answer.desired, urgent=False)
         rows = tuple(
             platform.KeyedRecord(ids.Offset(row.offset), row.key, row.value)
             for row in answer.rows
--- a/testing/edge/test_claimants.py
+++ b/testing/edge/test_claimants.py
@@ -180,3 +180,30 @@
         platform.Tail(end=ids.Offset(1), records=(row,)), newest=False
     )
     assert told
+
+
+def _hear_version(node: Node, name: str, domain: str, version: int) -> None:
+    beat = peers_lib.Beat(name, name, domain, 1, False, version, 0, {}, [])
+    data = cbor2.dumps(msgspec.to_builtins(beat))
+    node.known.peers.datagram_received(data, (name, 9))
+
+
+@pytest.mark.parametrize(
+    ("near", "far", "asked"),
+    [
+        (0, 0, set()),
+        (3, 0, {"near1", "near2"}),
+        (3, 9, {"near1", "near2"}),
+        (0, 9, {"far"}),
+    ],
+    ids=["nobody-ahead", "near", "far-knows-more", "only-far"],
+)
+def test_news_are_asked_of_the_same_domain_and_not_all_of_one_peer(
+    near: int, far: int, asked: set[str]
+) -> None:
+    node = Node(fenced=False)
+    _hear_version(node, "near1", "d1", near)
+    _hear_version(node, "near2", "d1", near)
+    _hear_version(node, "far", "d2", far)
+    found = [node.known.best_peer() for _ in range(40)]
+    assert {one.host for one in found if one is not None} == asked
