Tell one request's story from the logs of all processes

Who looks into a complaint had to collect a request's lines and then to search what its processes believed at that time. 'lugcross explain ID LOGS...' tells both in order; broken lines and those that were left out are counted and named, never fatal. No running process loads it.

--- a/src/lugcross/cli/main.py
+++ b/src/lugcross/cli/main.py
@@ -19,6 +19,7 @@
     "demo": "lugcross.cli.demo:demo",
     "edge": "lugcross.cli.edge:edge",
     "entry": "lugcross.cli.daemon:entry",
+    "explain": "lugcross.cli.explain:explain",
     "plan": "lugcross.cli.plan:plan",
     "standin": "lugcross.cli.standin:standin",
 }
--- /dev/null
+++ b/src/lugcross/observe/story.py
@@ -0,0 +1,135 @@
+# SPDX-License-Identifier: Apache-2.0
+"""One request's story, told from the log lines of all processes.
+
+What touched the request comes in order of time; between that, and from
+before it, what the processes that touched it believed: the state that was
+in force, whether they had the store, groups that were broken, maps that
+changed.
+"""
+
+from collections.abc import Iterable
+from collections.abc import Iterator
+from collections.abc import Sequence
+import dataclasses
+import json
+from typing import Any
+from typing import final
+
+#: Messages by which a process tells what it believes; the last of each
+#: before a request came still held when it did.
+BELIEFS = frozenset(
+    {
+        "desired state",
+        "duty of expert maps",
+        "expert map switched",
+        "group broken",
+        "group opened",
+        "lease",
+        "lease superseded",
+        "passes have jumped",
+        "settings kept out",
+        "settings read anew",
+        "started",
+        "stop asked",
+        "store lost",
+        "store regained",
+    }
+)
+#: Messages that replace each other: the later of them is what holds.
+_SAME = {
+    "group opened": "group broken",
+    "store regained": "store lost",
+}
+#: Fields that stand in each line's own columns.
+_COLUMNS = frozenset({"at", "node", "level", "module", "message"})
+
+
+@final
+@dataclasses.dataclass(frozen=True)
+class Line:
+    """One log line.
+
+    :param at: seconds since 1970, by the clock of its host.
+    :param fields: all that the line says beside time, node and message.
+    """
+
+    at: float
+    node: str
+    message: str
+    fields: dict[str, Any]
+
+    @property
+    def request(self) -> str:
+        """The request that it is about; empty if it is about none."""
+        return str(self.fields.get("request", ""))
+
+
+@final
+class Reader:
+    """Reads log lines; what is none is counted and never fatal.
+
+    :ivar broken: lines that hold no whole JSON object of ours.
+    :ivar left_out: lines that processes say they have left out.
+    """
+
+    def __init__(self) -> None:
+        self.broken = 0
+        self.left_out = 0
+
+    def read(self, texts: Iterable[str]) -> Iterator[Line]:
+        """Return the lines; whatever stands before an object is skipped."""
+        for text in texts:
+            if not text.strip():
+                continue
+            line = _decode(text)
+            if line is None:
+                self.broken += 1
+                continue
+            self.left_out += int(line.fields.get("left_out", 0))
+            yield line
+
+
+def _decode(text: str) -> Line | None:
+    start = text.find("{")
+    if start < 0:
+        return None
+    try:
+        raw = json.loads(text[start:])
+        return Line(
+            at=float(raw["at"]),
+            node=str(raw["node"]),
+            message=str(raw["message"]),
+            fields={k: v for k, v in raw.items() if k not in _COLUMNS},
+        )
+    except (ValueError, KeyError, TypeError):
+        return None
+
+
+def tell(lines: Iterable[Line], request: str) -> list[Line]:
+    """Return what concerns a request, in order of time.
+
+    :param request: the caller's id of one attempt.
+    """
+    ordered = sorted(lines, key=lambda line: line.at)
+    own = [line for line in ordered if line.request == request]
+    if not own:
+        return []
+    nodes = {line.node for line in own}
+    beliefs = [
+        line
+        for line in ordered
+        if line.node in nodes and line.message in BELIEFS
+    ]
+    before = _last_of_each(beliefs, own[0].at)
+    during = [one for one in beliefs if own[0].at <= one.at <= own[-1].at]
+    return sorted([*before, *own, *during], key=lambda line: line.at)
+
+
+def _last_of_each(lines: Sequence[Line], until: float) -> list[Line]:
+    """Return what each node believed at a moment."""
+    newest: dict[tuple[str, str], Line] = {}
+    for line in lines:
+        if line.at < until:
+            kind = _SAME.get(line.message, line.message)
+            newest[line.node, kind] = line
+    return list(newest.values())
--- /dev/null
+++ b/testing/observe/test_story.py
@@ -0,0 +1,92 @@
+# SPDX-License-Identifier: Apache-2.0
+"""One request's story from many processes' lines."""
+
+import json
+import pathlib
+
+import click.testing
+
+from lugcross.cli import explain
+from lugcross.observe import story
+
+
+def _text(at: float, node: str, message: str, **fields: object) -> str:
+    return json.dumps({"at": at, "node": node, "message": message, **fields})
+
+
+LOG = [
+    _text(1.0, "n1", "desired state", version=3),
+    _text(2.0, "n1", "desired state", version=4),
+    _text(2.5, "n1", "store lost", why="busy"),
+    _text(2.6, "n1", "store regained", after=0.1),
+    _text(2.7, "n2", "group broken", group="g"),
+    _text(3.0, "n1", "attempt ended", request="r1", event="not-run"),
+    _text(3.1, "n1", "group broken", group="g"),
+    _text(3.2, "n1", "refused", request="r1", status=503),
+    _text(3.3, "n1", "refused", request="r2", status=503),
+    _text(3.4, "n1", "group opened", group="g"),
+]
+
+
+def _tell(texts: list[str], request: str) -> list[tuple[float, str]]:
+    reader = story.Reader()
+    found = story.tell(reader.read(texts), request)
+    return [(line.at, line.message) for line in found]
+
+
+def test_story_holds_own_lines_and_what_their_process_believed() -> None:
+    assert _tell(LOG, "r1") == [
+        (2.0, "desired state"),
+        (2.6, "store regained"),
+        (3.0, "attempt ended"),
+        (3.1, "group broken"),
+        (3.2, "refused"),
+    ]
+
+
+def test_order_of_the_logs_does_not_matter() -> None:
+    assert _tell(LOG[::-1], "r1") == _tell(LOG, "r1")
+
+
+def test_unknown_request_has_no_story() -> None:
+    assert _tell(LOG, "r9") == []
+
+
+def test_broken_lines_are_counted_and_left_out() -> None:
+    reader = story.Reader()
+    texts = ["", "no line", '{"at": 1', "[1]", '{"at": "x"}', LOG[0]]
+    lines = list(reader.read(texts))
+    assert [line.message for line in lines] == ["desired state"]
+    assert reader.broken == 4
+
+
+def test_text_before_a_line_is_skipped_and_lost_lines_are_summed() -> None:
+    reader = story.Reader()
+    text = "  12.3 n1 " + _text(1.0, "n1", "answered", left_out=7)
+    assert len(list(reader.read([text]))) == 1
+    assert reader.left_out == 7
+
+
+def test_command_marks_the_requests_own_lines(tmp_path: pathlib.Path) -> None:
+    log = tmp_path / "n1.log"
+    log.write_text("\n".join([*LOG, "cut off"]))
+    runner = click.testing.CliRunner()
+    result = runner.invoke(explain.explain, ["r1", str(log)])
+    assert result.exit_code == 0
+    own = [one for one in result.output.splitlines() if one.startswith("*")]
+    assert own == [
+        "*    +0.000 n1 attempt ended event=not-run",
+        "*    +0.200 n1 refused status=503",
+    ]
+    assert "1 lines are broken" in result.output
+
+
+def test_command_says_what_to_check_where_there_is_no_line(
+    tmp_path: pathlib.Path,
+) -> None:
+    log = tmp_path / "n1.log"
+    log.write_text("\n".join(LOG))
+    runner = click.testing.CliRunner()
+    result = runner.invoke(explain.explain, ["r9", str(log)])
+    assert result.exit_code == 1
+    assert "check the id" in result.output
