Plan at once for a group that has formed anew

Cause: a map is planned once for each reading of demand since jumps are followed, and the reading before a group broke had been used already; the group waited for two more readings, 0.8 s apart, in its first map. Found by reading the change as a whole.

Change: a new life of a group may be planned for by what was seen before, and the first two readings in it are 0.25 s apart. The new test fails on the code before.

--- a/src/lugcross/edge/groups.py
+++ b/src/lugcross/edge/groups.py
@@ -85,7 +85,7 @@
         """Return how many passes may begin until all ranks are armed.
 
         Those that have begun since what a report tells, and one in which
-        the orders are given, and once more where one got no answer.
+        the orders are given.
         """
         usual = self.pulse.usual
         if not usual or not self.report_lag:
@@ -130,6 +130,8 @@
             self.version = self.newest = experts.MapVersion(0)
             self.used = experts.dealt_out(self.size, self.limits)
             self.awaited = None
+            # What was seen before it broke is the best to plan by now.
+            self.planned_at = None
         self.is_open = report.is_open
         self.step = report.step
         self.newest = max(self.newest, report.newest)
--- a/src/lugcross/edge/sight.py
+++ b/src/lugcross/edge/sight.py
@@ -18,8 +18,9 @@
 #: Time between two readings of counts. Demand jumps every few seconds;
 #: each reading is priced by its counts.
 _READ = datetime.timedelta(milliseconds=800)
-#: The same where nothing has been seen yet, as after a takeover: a few
-#: passes, of which the counts of one rank tell enough.
+#: The same where nothing has been seen yet, as after a takeover or where
+#: the group has just formed: a few passes, of which the counts of one rank
+#: tell enough.
 _FIRST_GAP = datetime.timedelta(milliseconds=250)
 #: Age up to which a group that formed anew is planned for by old demand.
 _LATELY = datetime.timedelta(seconds=15)
@@ -109,6 +110,8 @@
         if last is None or last.backend != backend.key:
             return
         self._gaps.pop(service, None)
+        if last.counts.epoch != counts.epoch:
+            self._gaps[service] = _FIRST_GAP
         uses = experts.between(last.counts, counts)
         if uses is not None:
             self._seen[service] = Seen(uses=uses, at=now)
--- a/testing/edge/test_maps.py
+++ b/testing/edge/test_maps.py
@@ -566,3 +566,27 @@
         assert jumping.reads == 2
 
     run(act, settings_lib.Maps(least_saving=1.0))
+
+
+def test_group_that_forms_anew_is_planned_for_by_what_was_seen_before():
+    async def act(rig: Rig) -> None:
+        await rig.rounds(6)
+        jumping = Jumping(rig)
+        rig.engines.group.form()
+        rig.engines.uses = [0] * LIMITS.experts
+        before = jumping.reads
+        for _ in range(12):
+            rig.clock.advance(datetime.timedelta(milliseconds=50))
+            jumping.passed(0.05)
+            await rig.maps.round()
+            await asyncio.sleep(0)
+        # Prepared before a second reading in its new life was made.
+        prepared = [
+            one.map
+            for one in rig.engines.orders
+            if isinstance(one, experts.Prepare)
+        ]
+        assert len(prepared) > SIZE
+        assert jumping.reads <= before + 2
+
+    run(act)
