Keep looking after the lease whatever fails once

Cause: found by reading. An error of our own in one round would have ended the task that renews and claims the lease, without a line, for the life of the process. Change: it is logged with its stack and the next round goes on; the new test fails on the code before.

--- a/src/lugcross/edge/duty.py
+++ b/src/lugcross/edge/duty.py
@@ -91,8 +91,14 @@
         """Look after the lease until cancelled."""
         while True:
             await asyncio.sleep(_ROUND_S)
-            if self._fenced():
+            if not self._fenced():
+                continue
+            try:
                 await self.round()
+            except Exception:
+                # A fault in here must not end the renewals, nor keep the
+                # lease from being claimed once it is free.
+                logging.exception("looking after the lease failed")
 
     async def round(self) -> None:
         """Do at the store what is to be done now."""
@@ -113,7 +119,8 @@
         except errors.PlatformError as exc:
             self._lease.unclear()
             logging.warning(
-                "lease not settled", extra={"move": move.value, "why": exc}
+                "lease not settled",
+                extra={"move": move.value, "why": str(exc)},
             )
         if self._lease.held != held:
             logging.info(
--- a/testing/edge/test_duty.py
+++ b/testing/edge/test_duty.py
@@ -196,3 +196,24 @@
         assert duty.mine()
 
     run(act)
+
+
+def test_fault_in_one_round_does_not_end_the_looking(monkeypatch):
+    monkeypatch.setattr(duty_lib, "_ROUND_S", 0.0)
+
+    async def act(rig: Rig) -> None:
+        duty, claimants = rig.process("a")
+        faults = []
+
+        def fail() -> bool:
+            faults.append(None)
+            raise KeyError("a fault of our own")
+
+        claimants.fit = fail
+        looking = asyncio.create_task(duty.run())
+        while len(faults) < 3 and not looking.done():
+            await asyncio.sleep(0)
+        assert not looking.done()
+        looking.cancel()
+
+    run(act)
