Write settings and passes of tests once

What they assert is as before; one test is new: a pass teaches the pace once, however many streams feel it.

--- a/testing/edge/test_claimants.py
+++ b/testing/edge/test_claimants.py
@@ -11,7 +11,6 @@
 from lugcross import clock as clock_lib
 from lugcross.edge import knowledge as knowledge_lib
 from lugcross.edge import peers as peers_lib
-from lugcross.edge import settings as settings_lib
 from lugcross.edge import world as world_lib
 from lugcross import experts
 from lugcross import ids
@@ -25,14 +24,8 @@
 
     def __init__(self, *, fenced: bool) -> None:
         self.clock = clock_lib.ManualClock()
-        settings = settings_lib.Settings(
-            node="n1",
-            domain="d1",
-            listen=settings_lib.Listen(
-                callers="h:0", ready="h:0", state="h:0", peers="h:0"
-            ),
-            store=settings_lib.Store(address="h:1", form="log"),
-            bounds=msgspec.structs.replace(edge_rig.BOUNDS, fenced=fenced),
+        settings = edge_rig.settings(
+            msgspec.structs.replace(edge_rig.BOUNDS, fenced=fenced)
         )
         world = world_lib.World(
             settings, clock=self.clock, rng=edge_rig.new_rng()
--- a/testing/edge/test_decisions.py
+++ b/testing/edge/test_decisions.py
@@ -132,9 +132,11 @@
     assert 3.0 <= learned.full(ENGINE, LIMIT) <= 6.0
 
 
-def _full_after(pause_ms: float) -> float:
-    learned = pace.Pace()
-    for num in range(300):
+def _passed(
+    learned: pace.Pace, num: int, pause_ms: float, *, streams: int = 3
+) -> float:
+    """Let one pass go by that some streams feel."""
+    for _ in range(streams):
         learned.paused(
             datetime.timedelta(milliseconds=pause_ms),
             num * SECOND,
@@ -145,21 +147,20 @@
     return learned.full(ENGINE, LIMIT)
 
 
+def _full_after(pause_ms: float) -> float:
+    learned = pace.Pace()
+    return [_passed(learned, num, pause_ms) for num in range(300)][-1]
+
+
 def test_longer_pauses_leave_room_for_fewer_requests():
     assert _full_after(110.0) < _full_after(85.0) < _full_after(60.0)
 
 
-def _passed(learned: pace.Pace, num: int, pause_ms: float) -> float:
-    """Let one pass go by that three streams feel."""
-    for _ in range(3):
-        learned.paused(
-            datetime.timedelta(milliseconds=pause_ms),
-            num * SECOND,
-            engine=ENGINE,
-            per_engine=4.0,
-            limit=LIMIT,
-        )
-    return learned.full(ENGINE, LIMIT)
+def test_pass_teaches_once_however_many_streams_feel_it():
+    one, many = pace.Pace(), pace.Pace()
+    for num, pause_ms in enumerate((60.0, 80.0, 70.0)):
+        alone = _passed(one, num, pause_ms, streams=1)
+        assert _passed(many, num, pause_ms, streams=9) == alone
 
 
 def test_jump_of_passes_is_followed_within_three():
--- a/testing/edge/test_maps.py
+++ b/testing/edge/test_maps.py
@@ -125,17 +125,8 @@
     def __init__(self, cfg: settings_lib.Maps) -> None:
         self.clock = clock_lib.ManualClock()
         self.engines = Engines()
-        settings = settings_lib.Settings(
-            node="n1",
-            domain="d1",
-            listen=settings_lib.Listen(
-                callers="h:0", ready="h:0", state="h:0", peers="h:0"
-            ),
-            store=settings_lib.Store(address="h:1", form="log"),
-            bounds=edge_rig.BOUNDS,
-        )
         self.world = world_lib.World(
-            settings, clock=self.clock, rng=edge_rig.new_rng()
+            edge_rig.settings(), clock=self.clock, rng=edge_rig.new_rng()
         )
         self.duty = Duty()
         self.news = 0
--- a/testing/support/edge_rig.py
+++ b/testing/support/edge_rig.py
@@ -38,6 +38,21 @@
 )
 
 
+def settings(
+    bounds: settings_lib.Bounds = BOUNDS,
+) -> settings_lib.Settings:
+    """Return settings of a process that listens nowhere."""
+    return settings_lib.Settings(
+        node="n1",
+        domain="d1",
+        listen=settings_lib.Listen(
+            callers="h:0", ready="h:0", state="h:0", peers="h:0"
+        ),
+        store=settings_lib.Store(address="h:1", form="log"),
+        bounds=bounds,
+    )
+
+
 def new_rng() -> random.Random:
     """Return a generator that gives the same on every run."""
     return random.Random(1)
