Let nobody wait for a peer that the store turns away to claim the lease

Ruled out: finishing what is held without a lease, or under the dead holder's number: what keeps late orders out must be a number of one's own.

Change: a process whose calls about the lease get no answer says so, and does not count among those that come first. The new tests fail on the code before. Without leases nothing changes.

--- a/src/lugcross/edge/app.py
+++ b/src/lugcross/edge/app.py
@@ -128,6 +128,7 @@
         self.knowledge.unfit = self._maps.switches.is_stuck
         self.knowledge.generation = self._duty.generation
         self.knowledge.heard_generation = self._duty.heard
+        self.knowledge.can_claim = self._duty.can_claim
         self.knowledge.seen_broken = self._maps.seen_broken
         self._conns: set[http1.ServerConn] = set()
         self._leaving_since: clock_lib.Instant | None = None
--- a/src/lugcross/edge/duty.py
+++ b/src/lugcross/edge/duty.py
@@ -83,6 +83,10 @@
         logging.warning("lease superseded", extra={"generation": number})
         self._lease.refused(number)
 
+    def can_claim(self) -> bool:
+        """Tell whether the store answered the last call about the lease."""
+        return not self._lease.failing
+
     def heard(self, number: experts.Generation) -> None:
         """Take over the number that a peer says it holds."""
         self._lease.superseded(number)
--- a/src/lugcross/edge/knowledge.py
+++ b/src/lugcross/edge/knowledge.py
@@ -69,6 +69,8 @@
         self.unfit: Callable[[], bool] = lambda: False
         #: Number of this process's lease of expert maps, if it has one.
         self.generation: Callable[[], experts.Generation | None] = lambda: None
+        #: Whether the store answers this process about the lease.
+        self.can_claim: Callable[[], bool] = lambda: True
         #: Called with the number of a peer's lease.
         self.heard_generation: Callable[[experts.Generation], None] = (
             lambda number: None
@@ -125,7 +127,11 @@
         return not self._leaving and not self.unfit()
 
     def first(self) -> bool:
-        """Tell whether it runs longest of those that may."""
+        """Tell whether it runs longest of those that may.
+
+        Where a lease is needed, one that the store turns away cannot get
+        it, and nobody waits for it.
+        """
         leased = self._world.bounds.fenced
         age = self._clock.monotonic() - self._begun
         if age < _DUTY_AFTER and not leased:
@@ -134,7 +140,7 @@
         claims = [
             experts.Claim(beat.since_ms, beat.incarnation)
             for beat in self._live_beats(silent)
-            if beat.since_ms
+            if beat.since_ms and (beat.reads or not leased)
         ]
         own = experts.Claim(self._since_ms, self._incarnation)
         return experts.holder([*claims, own]) == own
@@ -213,7 +219,7 @@
             since_ms=0 if self.unfit() else self._since_ms,
             broken=[str(key) for key in self.seen_broken()],
             generation=self.generation() or 0,
-            reads=not self.trouble.now,
+            reads=not self.trouble.now and self.can_claim(),
         )
 
     def _heard(self, peer: peers_lib.Peer) -> None:
--- a/src/lugcross/experts/lease.py
+++ b/src/lugcross/experts/lease.py
@@ -86,6 +86,8 @@
         #: Highest number that is known to be of no use any more.
         self._spent = Generation(0)
         self._held: Generation | None = None
+        #: Whether the store left the last call without an answer.
+        self.failing = False
 
     @property
     def held(self) -> Generation | None:
@@ -144,6 +146,7 @@
 
     def saw(self, found: Record | None, end: ids.Offset) -> None:
         """Take over what the store holds."""
+        self.failing = False
         now = self._clock.monotonic()
         if end != self._end or self._seen != found:
             self._since = now
@@ -161,6 +164,7 @@
 
     def wrote(self, record: Record, end: ids.Offset) -> None:
         """Note that the store has taken a record of ours."""
+        self.failing = False
         self._seen, self._end = record, end
         self._since = self._renewed_at = self._clock.monotonic()
         if record.released:
@@ -170,10 +174,12 @@
 
     def conflicted(self) -> None:
         """Note that another write came first."""
+        self.failing = False
         self._end = None
 
     def unclear(self) -> None:
         """Note that a call got no answer: a write may have counted."""
+        self.failing = True
         self._end = None
         self._retry_at = self._clock.monotonic() + RETRY_AFTER
 
--- a/testing/edge/test_claimants.py
+++ b/testing/edge/test_claimants.py
@@ -36,7 +36,12 @@
         )
 
     def hear(
-        self, *, since_ms: int = 1, generation: int = 0, leaving: bool = False
+        self,
+        *,
+        since_ms: int = 1,
+        generation: int = 0,
+        leaving: bool = False,
+        reads: bool = True,
     ) -> None:
         """Take a datagram of a peer that started long ago."""
         beat = peers_lib.Beat(
@@ -51,6 +56,7 @@
             known=[],
             since_ms=since_ms,
             generation=generation,
+            reads=reads,
         )
         data = cbor2.dumps(msgspec.to_builtins(beat))
         self.known.peers.datagram_received(data, ("10.0.0.2", 9))
@@ -200,3 +206,23 @@
     _hear_version(node, "far", "d2", far)
     found = [node.known.best_peer() for _ in range(40)]
     assert {one.host for one in found if one is not None} == asked
+
+
+@FENCES
+def test_nobody_waits_for_a_peer_that_the_store_turns_away(
+    fenced: bool,
+) -> None:
+    node = Node(fenced=fenced)
+    node.clock.advance(5000 * MS)
+    node.hear(reads=False)
+    # Without a lease the store does not matter.
+    assert node.known.first() == fenced
+
+
+def test_peers_hear_that_the_store_turns_this_process_away() -> None:
+    node = Node(fenced=True)
+    tell = node.known._tell
+    node.known.can_claim = lambda: False
+    assert not tell([]).reads
+    node.known.can_claim = lambda: True
+    assert tell([]).reads
--- a/testing/edge/test_duty.py
+++ b/testing/edge/test_duty.py
@@ -217,3 +217,17 @@
         looking.cancel()
 
     run(act)
+
+
+def test_process_that_the_store_turns_away_says_that_it_cannot_claim():
+    async def act(rig: Rig) -> None:
+        duty, _ = rig.process("a")
+        rig.store.busy = True
+        await rounds(duty)
+        assert not duty.can_claim()
+        rig.store.busy = False
+        rig.clock.advance(lease_lib.RETRY_AFTER)
+        await rounds(duty)
+        assert duty.can_claim()
+
+    run(act)
