--- a/src/lugcross/edge/follow.py
+++ b/src/lugcross/edge/follow.py
@@ -108,6 +108,10 @@
                 self._next = None
             except errors.LogUnavailableError as exc:
                 self._trouble.failed(str(exc))
+                logging.info(
+                    "read failed",
+                    extra={"topic": self._topic, "why": str(exc)},
+                )
                 # Jitter keeps all processes from returning at once.
                 await asyncio.sleep(retry * random.uniform(0.5, 1.0))
                 retry = min(2 * retry, _RETRY_MOST_S)
--- a/src/lugcross/platform/store.py
+++ b/src/lugcross/platform/store.py
@@ -187,6 +187,7 @@
     ) -> tuple[int, bytes]:
         limit = (self._timeout + wait).total_seconds()
         conn = await self._connection()
+        kept = bool(conn.used)
         try:
             async with asyncio.timeout(limit):
                 target = f"{path}?{urllib.parse.urlencode(query)}"
@@ -199,7 +200,9 @@
                 answered = await conn.body()
         except (http1.BrokenError, TimeoutError) as exc:
             conn.close()
-            raise _unavailable(str(exc) or "no answer in time") from exc
+            why = str(exc) or f"no answer within {limit:g} s"
+            way = "kept" if kept else "new"
+            raise _unavailable(f"{why}, on a {way} connection") from exc
         except BaseException:
             conn.close()
             raise
