--- a/src/lugcross/edge/app.py
+++ b/src/lugcross/edge/app.py
@@ -19,12 +19,12 @@
 from lugcross.edge import duty as duty_lib
 from lugcross.edge import engines as engines_lib
 from lugcross.edge import figures as figures_lib
-from lugcross.edge import follow
 from lugcross.edge import knowledge as knowledge_lib
 from lugcross.edge import maps as maps_lib
 from lugcross.edge import ready as ready_lib
 from lugcross.edge import runner as runner_lib
 from lugcross.edge import settings as settings_lib
+from lugcross.edge import sources
 from lugcross.edge import world as world_lib
 from lugcross import errors
 from lugcross import experts
@@ -34,19 +34,6 @@
 #: Longest wait for the store's answer. Its usual answer takes a few
 #: milliseconds; a slow store needs some hundred.
 _STORE_TIMEOUT = datetime.timedelta(seconds=1.5)
-#: How long a read waits for news at the store while peers tell what is
-#: newest; each read is priced.
-_WAIT = datetime.timedelta(seconds=4)
-#: Part of a bound on news that a read waits without peers: at times the
-#: store does not wake a read that came just before the change.
-_ALONE_PART = 0.5
-#: Live peers that are enough to hear of each change.
-_ENOUGH_PEERS = 2
-#: Shortest time between two reads of the desired state, for storms.
-_DESIRED_GAP = datetime.timedelta(milliseconds=100)
-#: Shortest time between two reads of the backend servers: many of them
-#: change at once when a service is released or a domain comes back.
-_BACKENDS_GAP = datetime.timedelta(milliseconds=400)
 #: Time between two rounds of tidying, in seconds.
 _SWEEP_S = 1.0
 #: Part of the grace after which whatever is left is cut.
@@ -185,44 +172,16 @@
         return ""
 
     def _loops(self) -> list[Coroutine[Any, Any, None]]:
-        world = self.world
         known = self.knowledge
-        desired_follower = follow.Follower(
-            self._store,
-            platform.OPERATOR_TOPIC,
-            known.take_desired,
-            known.trouble,
-            gap=_DESIRED_GAP,
-            wait=lambda: self._wait(world.bounds.change),
-            rests=known.rests,
-        )
-        backends_follower = follow.Follower(
-            self._store,
-            platform.BACKENDS_TOPIC,
-            known.take_backends,
-            known.trouble,
-            gap=_BACKENDS_GAP,
-            wait=lambda: self._wait(world.bounds.drain),
-            rests=known.rests,
-        )
+        followers = sources.followers(self._store, self.world, known)
         return [
-            desired_follower.run(),
-            backends_follower.run(),
+            *(follower.run() for follower in followers),
             known.run(),
             self._duty.run(),
             self._maps.run(),
             self._sweep(),
         ]
 
-    def _wait(self, bound: datetime.timedelta) -> datetime.timedelta:
-        """Return how long a read may wait for news.
-
-        :param bound: time within which the news must be acted on.
-        """
-        if len(self.knowledge.peers.live()) >= _ENOUGH_PEERS:
-            return _WAIT
-        return bound * _ALONE_PART
-
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
