--- a/src/lugcross/edge/knowledge.py
+++ b/src/lugcross/edge/knowledge.py
@@ -86,7 +86,7 @@
             clock=clock,
         )
         world.known_peers = self.peers.known
-        self._server = peers_lib.StateServer(self._answer)
+        self._server = peers_lib.StateServer(self.answer)
 
     async def start(self) -> None:
         """Listen for peers."""
@@ -235,7 +235,8 @@
         self._world.outages.told(beat.node, broken)
         self.heard_generation(experts.Generation(beat.generation))
 
-    def _answer(self, ask: peers_lib.Ask) -> peers_lib.State:
+    def answer(self, ask: peers_lib.Ask) -> peers_lib.State:
+        """Return what this process knows beyond ``ask``."""
         state = self._world.desired
         newer = state is not None and state.version > ask.version
         return peers_lib.State(
--- a/src/lugcross/standin/store.py
+++ b/src/lugcross/standin/store.py
@@ -102,20 +102,28 @@
     async def _answer(
         self, exchange: http1.Exchange, req: http1.Request
     ) -> None:
-        parts = urllib.parse.urlsplit(req.target.decode())
+        status, body = await self.call(req.target.decode(), req.body or b"")
+        await exchange.head(status, [], body, whole=True)
+
+    async def call(
+        self, target: str, sent: bytes
+    ) -> tuple[http.HTTPStatus, bytes]:
+        """Return status and body of the answer to one call.
+
+        :param target: path and query.
+        """
+        parts = urllib.parse.urlsplit(target)
         query = dict(urllib.parse.parse_qsl(parts.query))
         self.calls.append(parts.path)
         if self.busy:
-            status, body = http.HTTPStatus.SERVICE_UNAVAILABLE, b""
-        elif parts.path == "/log-newest":
-            status, body = self._newest(query)
-        elif parts.path == "/log-read":
-            status, body = await self._read(query)
-        elif parts.path == "/log-append":
-            status, body = self._append(query, req.body or b"")
-        else:
-            status, body = http.HTTPStatus.NOT_FOUND, b""
-        await exchange.head(status, [], body, whole=True)
+            return http.HTTPStatus.SERVICE_UNAVAILABLE, b""
+        if parts.path == "/log-newest":
+            return self._newest(query)
+        if parts.path == "/log-read":
+            return await self._read(query)
+        if parts.path == "/log-append":
+            return self._append(query, sent)
+        return http.HTTPStatus.NOT_FOUND, b""
 
     def _topic(self, name: str) -> _Topic:
         return self._topics.setdefault(name, _Topic())
--- /dev/null
+++ b/testing/edge/test_silence.py
@@ -0,0 +1,91 @@
+# SPDX-License-Identifier: Apache-2.0
+"""Changes come into force in time although connections say nothing.
+
+Symptom: requests were answered as version 14 or older allows 2.3 and 2.9 s
+after version 24 was accepted, 2 s being allowed.
+
+Sequence: the store answered nobody for 5.4 s and reset nothing. It was
+back, and took versions 14 to 24, while processes still waited for reads
+that they had sent into the outage: six of seven until 4.8 s after its
+return ("no answer within 5.5 s"). No peer had news to pass on.
+
+Cause: a read was given the time that it may wait for news and the time of
+an answer, 5.5 s together, whether or not the store had answered the last
+one. What settled it: of the seven, the one whose read had been sent 3 s
+earlier than the others' had version 24 1.7 s after the store's return, and
+the others had it from this one 0.2 to 0.5 s later.
+"""
+
+import asyncio
+import random
+
+import edge_rig
+import fleet_rig
+import virtual_time
+
+#: Processes of each failure domain.
+DOMAINS = (3, 2, 2)
+#: Until every process has read, registered and heard of the others, s.
+SETTLED_S = 20.0
+#: Time after which the store counts as sound again, in seconds.
+CONTACT_S = edge_rig.BOUNDS.contact_ms / 1000
+#: How long the store says nothing, in seconds.
+OUTAGE_S = 5.4
+#: When trouble begins after that: anywhere in the cycle of reads, s.
+PHASES = [phase / 4 for phase in range(24)]
+
+
+def _late(monkeypatch, trouble, seed: int) -> list[str]:
+    """Return who goes by an older version ``CONTACT_S`` after trouble.
+
+    :param trouble: coroutine that ends when the store is sound again.
+    """
+    random.seed(seed)
+
+    async def main() -> list[str]:
+        fleet = fleet_rig.Fleet(monkeypatch, *DOMAINS)
+        fleet.change(1)
+        fleet.start()
+        await asyncio.sleep(SETTLED_S)
+        assert fleet.behind(1) == []
+        await trouble(fleet)
+        fleet.change(2)
+        await asyncio.sleep(CONTACT_S)
+        late = fleet.behind(2)
+        await fleet.stop()
+        return late
+
+    return virtual_time.run(main())
+
+
+def _late_by_phase(monkeypatch, trouble) -> dict[float, list[str]]:
+    """Return who is late, by the phase at which trouble begins."""
+    found = {}
+    for phase in PHASES:
+
+        async def begin(fleet: fleet_rig.Fleet, phase: float = phase) -> None:
+            await asyncio.sleep(phase)
+            await trouble(fleet)
+
+        late = _late(monkeypatch, begin, seed=1)
+        if late:
+            found[phase] = late
+    return found
+
+
+def test_change_after_a_silent_outage_is_in_force_in_time(monkeypatch):
+    async def outage(fleet: fleet_rig.Fleet) -> None:
+        fleet.store.silent = True
+        await asyncio.sleep(OUTAGE_S)
+        fleet.store.silent = False
+
+    assert _late_by_phase(monkeypatch, outage) == {}
+
+
+def test_change_is_in_force_in_time_where_open_connections_went_silent(
+    monkeypatch,
+):
+    async def silence(fleet: fleet_rig.Fleet) -> None:
+        fleet.store.silence_connections()
+
+    assert _late_by_phase(monkeypatch, silence) == {}
--- /dev/null
+++ b/testing/support/fleet_rig.py
@@ -0,0 +1,140 @@
+# SPDX-License-Identifier: Apache-2.0
+"""What the processes of a fleet know, in virtual time and without sockets.
+
+Each process is its :class:`~lugcross.edge.knowledge.Knowledge` with the
+followers of the store; datagrams and questions go straight to the peer.
+"""
+
+import asyncio
+import datetime
+import json
+import random
+
+import edge_rig
+import silent_store
+import virtual_time
+
+from lugcross.edge import knowledge as knowledge_lib
+from lugcross.edge import peers as peers_lib
+from lugcross.edge import settings as settings_lib
+from lugcross.edge import sources
+from lugcross.edge import world as world_lib
+from lugcross import http1
+from lugcross import platform
+
+#: One way between two processes, in seconds.
+_WAY_S = 0.001
+_PEERS_PORT = 9
+_STATE_PORT = 8
+_STORE_TIMEOUT = datetime.timedelta(seconds=1.5)
+
+
+def state(version: int) -> bytes:
+    """Return the record of a desired state that holds nothing."""
+    limits = dict.fromkeys(
+        ("header_bytes", "body_bytes", "header_ms", "idle_ms"), 1
+    )
+    return json.dumps(
+        {"version": version, "routes": [], "services": [], "limits": limits}
+    ).encode()
+
+
+class Node:
+    """One process of the fleet."""
+
+    def __init__(self, fleet: "Fleet", name: str, domain: str) -> None:
+        self.name = name
+        self.fleet = fleet
+        listen = settings_lib.Listen(
+            callers=f"{name}:0",
+            ready=f"{name}:0",
+            state=f"{name}:{_STATE_PORT}",
+            peers=f"{name}:{_PEERS_PORT}",
+        )
+        settings = settings_lib.Settings(
+            node=name,
+            domain=domain,
+            listen=listen,
+            store=settings_lib.Store(address="store:1", form="log"),
+            bounds=edge_rig.BOUNDS,
+        )
+        clock = virtual_time.LoopClock()
+        self.world = world_lib.World(
+            settings, clock=clock, rng=random.Random(name)
+        )
+        self.store = platform.StoreClient("store:1", timeout=_STORE_TIMEOUT)
+        self.knowledge = knowledge_lib.Knowledge(
+            settings, self.world, self.store, clock=clock
+        )
+        self.knowledge.peers.connection_made(self)
+
+    def sendto(self, data: bytes, to: tuple[str, int]) -> None:
+        """Take the place of the socket for datagrams."""
+        peer = self.fleet.nodes.get(to[0])
+        if peer is not None:
+            origin = (self.name, _PEERS_PORT)
+            asyncio.get_running_loop().call_later(
+                _WAY_S, peer.knowledge.peers.datagram_received, data, origin
+            )
+
+    async def run(self) -> None:
+        """Follow the store and the peers until cancelled."""
+        followers = sources.followers(self.store, self.world, self.knowledge)
+        await asyncio.gather(
+            self.knowledge.run(), *(one.run() for one in followers)
+        )
+
+    @property
+    def version(self) -> int:
+        """Version of the desired state that is in force here."""
+        return self.world.desired.version if self.world.desired else 0
+
+
+class Fleet:
+    """Processes in failure domains, before a store that may be silent.
+
+    :param domains: how many processes each failure domain has.
+    """
+
+    def __init__(self, monkeypatch, *domains: int) -> None:
+        self.store = silent_store.SilentStore()
+        self.nodes = {
+            f"n{domain}-{number}": Node(
+                self, f"n{domain}-{number}", f"d{domain}"
+            )
+            for domain, count in enumerate(domains)
+            for number in range(count)
+        }
+        self._tasks: list[asyncio.Task[None]] = []
+        monkeypatch.setattr(http1, "connect", self.store.connect)
+        monkeypatch.setattr(peers_lib, "ask", self._ask)
+
+    def change(self, version: int) -> None:
+        """Let the store accept a desired state."""
+        self.store.standin.append(
+            platform.OPERATOR_TOPIC, platform.DESIRED_KEY, state(version)
+        )
+
+    def start(self) -> None:
+        """Start all processes, a moment apart."""
+        for node in self.nodes.values():
+            self._tasks.append(asyncio.create_task(node.run()))
+
+    async def stop(self) -> None:
+        """End all processes."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def behind(self, version: int) -> list[str]:
+        """Return the processes where ``version`` is not in force."""
+        return [
+            node.name for node in self.nodes.values() if node.version < version
+        ]
+
+    async def _ask(
+        self, host: str, port: int, question: peers_lib.Ask
+    ) -> peers_lib.State | None:
+        assert port == _STATE_PORT
+        await asyncio.sleep(2 * _WAY_S)
+        return self.nodes[host].knowledge.answer(question)
--- /dev/null
+++ b/testing/support/silent_store.py
@@ -0,0 +1,75 @@
+# SPDX-License-Identifier: Apache-2.0
+"""A store whose answers can fail to come, in virtual time.
+
+Connections come up at once and are never reset: silence is all there is.
+"""
+
+import asyncio
+
+from lugcross import http1
+from lugcross.standin import store as standin
+
+#: One round trip and the store's own work, in seconds.
+_ANSWER_S = 0.004
+
+
+class SilentStore:
+    """The stand-in of the store behind connections that may be silent.
+
+    :ivar silent: whether calls, also those under way, get no answer.
+    """
+
+    def __init__(self) -> None:
+        self.standin = standin.StoreStandin()
+        self.silent = False
+        self._open: list[_Conn] = []
+
+    def silence_connections(self) -> None:
+        """Make all connections that are open silent for good."""
+        for conn in self._open:
+            conn.silent = True
+
+    async def connect(
+        self, host: str, port: int, *, timeout_s: float
+    ) -> "_Conn":
+        """Take the place of :func:`lugcross.http1.connect`."""
+        del host, port, timeout_s
+        await asyncio.sleep(_ANSWER_S)
+        conn = _Conn(self)
+        self._open.append(conn)
+        return conn
+
+
+class _Conn:
+    """Takes the place of :class:`lugcross.http1.ClientConn`."""
+
+    closing = False
+    pending = False
+    reusable = True
+
+    def __init__(self, store: SilentStore) -> None:
+        self._store = store
+        self.silent = False
+        self.used = 0
+
+    def send(self, method, target, headers, body):
+        del method, headers
+        self.used += 1
+        self._sent = target.decode(), body
+
+    async def answer(self) -> http1.Answer:
+        await self._nothing_if_silent()
+        status, self._body = await self._store.standin.call(*self._sent)
+        await asyncio.sleep(_ANSWER_S)
+        await self._nothing_if_silent()
+        return http1.Answer(status, [], [])
+
+    async def body(self) -> bytes:
+        return self._body
+
+    def close(self) -> None:
+        self.closing = True
+
+    async def _nothing_if_silent(self) -> None:
+        if self.silent or self._store.silent:
+            await asyncio.Event().wait()
