--- a/src/lugcross/edge/knowledge.py
+++ b/src/lugcross/edge/knowledge.py
@@ -13,7 +13,9 @@
 from lugcross import clock as clock_lib
 from lugcross import desired
 from lugcross.edge import follow
+from lugcross.edge import messages
 from lugcross.edge import peers as peers_lib
+from lugcross.edge import questions
 from lugcross.edge import readers
 from lugcross.edge import settings as settings_lib
 from lugcross.edge import world as world_lib
@@ -86,7 +88,7 @@
             clock=clock,
         )
         world.known_peers = self.peers.known
-        self._server = peers_lib.StateServer(self.answer)
+        self._server = questions.StateServer(self.answer)
 
     async def start(self) -> None:
         """Listen for peers."""
@@ -160,7 +162,7 @@
         own = readers.Reader(self._incarnation, not self.trouble.now)
         return not readers.asks(own, peers)
 
-    def _live_beats(self, silent: datetime.timedelta) -> list[peers_lib.Beat]:
+    def _live_beats(self, silent: datetime.timedelta) -> list[messages.Beat]:
         """Return the newest news of peers that may have the duty."""
         return [
             peer.beat
@@ -199,9 +201,9 @@
         if self._world.adopt(state, record):
             self.peers.changed(urgent=urgent)
 
-    def _tell(self, known: list[str]) -> peers_lib.Beat:
+    def _tell(self, known: list[str]) -> messages.Beat:
         _, port = address.split(self._settings.listen.state)
-        return peers_lib.Beat(
+        return messages.Beat(
             node=self._settings.node,
             incarnation=self._incarnation,
             domain=self._settings.domain,
@@ -233,15 +235,15 @@
         self._world.outages.told(beat.node, broken)
         self.heard_generation(experts.Generation(beat.generation))
 
-    def answer(self, ask: peers_lib.Ask) -> peers_lib.State:
+    def answer(self, ask: messages.Ask) -> messages.State:
         """Return what this process knows beyond ``ask``."""
         state = self._world.desired
         newer = state is not None and state.version > ask.version
-        return peers_lib.State(
+        return messages.State(
             desired=self._world.desired_record if newer else b"",
             end=self._world.backends.end,
             rows=[
-                peers_lib.Row(row.key, row.offset, row.value)
+                messages.Row(row.key, row.offset, row.value)
                 for row in self._world.backends.records.values()
                 if row.offset >= ask.end
             ],
@@ -287,7 +289,7 @@
             if was_behind or at_once:
                 await self._ask(best.host, best.beat.state_port)
 
-    def _is_near(self, beat: peers_lib.Beat) -> bool:
+    def _is_near(self, beat: messages.Beat) -> bool:
         return beat.domain == self._settings.domain
 
     def _lost(self) -> bool:
@@ -325,8 +327,8 @@
                 await self._ask(*address.split(seed))
 
     async def _ask(self, host: str, port: int) -> None:
-        question = peers_lib.Ask(self._version(), self._world.backends.end)
-        answer = await peers_lib.ask(host, port, question)
+        question = messages.Ask(self._version(), self._world.backends.end)
+        answer = await questions.ask(host, port, question)
         if answer is None:
             return
         logging.info(
--- /dev/null
+++ b/src/lugcross/edge/messages.py
@@ -0,0 +1,117 @@
+# SPDX-License-Identifier: Apache-2.0
+"""What edge processes say to each other, and how it is written."""
+
+from typing import final
+
+import cbor2
+import msgspec
+
+
+@final
+class Beat(msgspec.Struct, frozen=True, array_like=True):
+    """One datagram.
+
+    :param incarnation: drawn anew at each start.
+    :param state_port: where the sender answers questions.
+    :param version: version of its desired state; 0 if it has none.
+    :param end: how far it has read the list of backend servers.
+    :param running: its requests in progress, by backend server.
+    :param known: addresses of peers that it knows, ``HOST:PORT``.
+    :param since_ms: when it started, by its time of day, if it can look
+        after expert maps; 0 if it cannot now.
+    :param broken: backend servers that it has seen in broken groups.
+    :param generation: number of its lease of expert maps; 0 without one.
+    :param reads: whether the store answered its last call.
+    :param pass_on: whether the receiver should pass it on to its domain.
+    :param number: rises with each datagram of an incarnation: one that was
+        passed on may arrive after a later one.
+    """
+
+    node: str
+    incarnation: str
+    domain: str
+    state_port: int
+    leaving: bool
+    version: int
+    end: int
+    running: dict[str, int]
+    known: list[str]
+    since_ms: int = 0
+    broken: list[str] = []
+    generation: int = 0
+    reads: bool = False
+    pass_on: bool = False
+    number: int = 0
+
+
+@final
+class PassedOn(msgspec.Struct, frozen=True, array_like=True):
+    """A datagram of another failure domain, passed on within this one.
+
+    :param origin: who sent it, ``HOST:PORT``.
+    """
+
+    origin: str
+    beat: Beat
+
+
+#: Fields of a :class:`PassedOn`, by which it is told from a :class:`Beat`.
+_PASSED_FIELDS = 2
+
+
+@final
+class Ask(msgspec.Struct, frozen=True, array_like=True):
+    """Question for what is newer than this."""
+
+    version: int
+    end: int
+
+
+@final
+class Row(msgspec.Struct, frozen=True, array_like=True):
+    """Newest record of one backend server; no value if it is gone."""
+
+    key: str
+    offset: int
+    value: bytes
+
+
+@final
+class State(msgspec.Struct, frozen=True, array_like=True):
+    """Answer: the desired state's record, if newer, and newer rows."""
+
+    desired: bytes
+    end: int
+    rows: list[Row]
+
+
+def encode(message: msgspec.Struct) -> bytes:
+    """Return a message as bytes."""
+    return cbor2.dumps(msgspec.to_builtins(message, builtin_types=(bytes,)))
+
+
+def decode_datagram(data: bytes) -> Beat | PassedOn:
+    """Return the message in a datagram.
+
+    :raises cbor2.CBORDecodeError: when it is not readable at all.
+    :raises msgspec.ValidationError: when it is neither message.
+    """
+    raw = cbor2.loads(data)
+    if isinstance(raw, list) and len(raw) == _PASSED_FIELDS:
+        return msgspec.convert(raw, PassedOn)
+    return msgspec.convert(raw, Beat)
+
+
+def decode_ask(frame: str | bytes) -> Ask:
+    """Return the question in a frame; raises as for datagrams."""
+    return msgspec.convert(cbor2.loads(_as_bytes(frame)), Ask)
+
+
+def decode_state(frame: str | bytes) -> State:
+    """Return the answer in a frame; raises as for datagrams."""
+    raw = cbor2.loads(_as_bytes(frame))
+    return msgspec.convert(raw, State, builtin_types=(bytes,))
+
+
+def _as_bytes(frame: str | bytes) -> bytes:
+    return frame.encode() if isinstance(frame, str) else frame
--- a/src/lugcross/edge/peers.py
+++ b/src/lugcross/edge/peers.py
@@ -18,11 +18,9 @@
 from absl import logging
 import cbor2
 import msgspec
-from websockets.asyncio import client as ws_client
-from websockets.asyncio import server as ws_server
-from websockets import exceptions as ws_exceptions
 
 from lugcross import clock as clock_lib
+from lugcross.edge import messages
 
 #: Shortest time between two datagrams to one peer; news in between wait
 #: for the next. A small part of a stream's life.
@@ -40,92 +38,10 @@
 _SILENT = datetime.timedelta(seconds=2)
 #: Silence after which a peer's address is forgotten.
 _FORGOTTEN = datetime.timedelta(seconds=60)
-#: Longest wait for a peer's answer, in seconds.
-_ASK_S = 1.0
-#: Largest answer of a peer, in bytes: a large desired state.
-_MAX_ANSWER = 16 * 1_048_576
 #: Addresses passed on in one datagram; more than that go in later ones.
 _ADDRESSES = 16
 
 
-@final
-class Beat(msgspec.Struct, frozen=True, array_like=True):
-    """One datagram.
-
-    :param incarnation: drawn anew at each start.
-    :param state_port: where the sender answers questions.
-    :param version: version of its desired state; 0 if it has none.
-    :param end: how far it has read the list of backend servers.
-    :param running: its requests in progress, by backend server.
-    :param known: addresses of peers that it knows, ``HOST:PORT``.
-    :param since_ms: when it started, by its time of day, if it can look
-        after expert maps; 0 if it cannot now.
-    :param broken: backend servers that it has seen in broken groups.
-    :param generation: number of its lease of expert maps; 0 without one.
-    :param reads: whether the store answered its last call.
-    :param pass_on: whether the receiver should pass it on to its domain.
-    :param number: rises with each datagram of an incarnation: one that was
-        passed on may arrive after a later one.
-    """
-
-    node: str
-    incarnation: str
-    domain: str
-    state_port: int
-    leaving: bool
-    version: int
-    end: int
-    running: dict[str, int]
-    known: list[str]
-    since_ms: int = 0
-    broken: list[str] = []
-    generation: int = 0
-    reads: bool = False
-    pass_on: bool = False
-    number: int = 0
-
-
-@final
-class PassedOn(msgspec.Struct, frozen=True, array_like=True):
-    """A datagram of another failure domain, passed on within this one.
-
-    :param origin: who sent it, ``HOST:PORT``.
-    """
-
-    origin: str
-    beat: Beat
-
-
-#: Fields of a :class:`PassedOn`, by which it is told from a :class:`Beat`.
-_PASSED_FIELDS = 2
-
-
-@final
-class Ask(msgspec.Struct, frozen=True, array_like=True):
-    """Question for what is newer than this."""
-
-    version: int
-    end: int
-
-
-@final
-class Row(msgspec.Struct, frozen=True, array_like=True):
-    """Newest record of one backend server; no value if it is gone."""
-
-    key: str
-    offset: int
-    value: bytes
-
-
-@final
-class State(msgspec.Struct, frozen=True, array_like=True):
-    """Answer: the desired state's record, if newer, and newer rows."""
-
-    desired: bytes
-    end: int
-    rows: list[Row]
-
-
 @final
 @dataclasses.dataclass
 class Peer:
@@ -133,7 +49,7 @@
 
     host: str
     port: int
-    beat: Beat | None = None
+    beat: messages.Beat | None = None
     heard: clock_lib.Instant | None = None
     added: clock_lib.Instant = datetime.timedelta()
 
@@ -144,7 +60,7 @@
 
 
 #: Fills in the sender's own part of a datagram.
-Teller = Callable[[list[str]], Beat]
+Teller = Callable[[list[str]], messages.Beat]
 
 
 @final
@@ -187,29 +103,29 @@
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Take a datagram; a malformed one is dropped."""
         try:
-            got = _decode(data)
+            got = messages.decode_datagram(data)
         except (cbor2.CBORDecodeError, msgspec.ValidationError) as exc:
             logging.warning(
                 "bad datagram", extra={"peer": addr[0], "why": str(exc)}
             )
             return
-        if isinstance(got, PassedOn):
+        if isinstance(got, messages.PassedOn):
             if got.origin != self._own:
                 self._take(got.origin, got.beat)
             return
         origin = f"{addr[0]}:{addr[1]}"
         self._take(origin, got)
         if got.pass_on:
-            self._pass_on(PassedOn(origin, got))
+            self._pass_on(messages.PassedOn(origin, got))
 
-    def _pass_on(self, passed: PassedOn) -> None:
+    def _pass_on(self, passed: messages.PassedOn) -> None:
         """Tell the peers of this domain what one of another has sent."""
-        data = cbor2.dumps(msgspec.to_builtins(passed))
+        data = messages.encode(passed)
         for peer in self._peers.values():
             if peer.domain == self._domain:
                 self._send_to(peer, data)
 
-    def _take(self, origin: str, beat: Beat) -> None:
+    def _take(self, origin: str, beat: messages.Beat) -> None:
         peer = self._note(origin)
         same = peer.beat and peer.beat.incarnation == beat.incarnation
         if same and peer.beat and beat.number < peer.beat.number:
@@ -282,21 +198,21 @@
         known = (names[start:] + names[:start])[:_ADDRESSES]
         told = self._tell(known if self._turn % 8 == 0 else [])
         beat = msgspec.structs.replace(told, number=self._turn)
-        data = cbor2.dumps(msgspec.to_builtins(beat))
+        data = messages.encode(beat)
         for peer in self._peers.values():
             if self._urgent or peer.domain in (None, self._domain):
                 self._send_to(peer, data)
         self._urgent = False
         self._tell_far(msgspec.structs.replace(beat, pass_on=True))
 
-    def _tell_far(self, beat: Beat) -> None:
+    def _tell_far(self, beat: messages.Beat) -> None:
         """Tell one peer of each other domain that is due, by turns."""
         now = self._clock.monotonic()
         # Without a live peer in a domain any is told: who waits to be told
         # first would wait for ever after a cut.
         far = self._far(self._peers.values())
         far.update(self._far(self.live(_PASSING)))
-        data = cbor2.dumps(msgspec.to_builtins(beat))
+        data = messages.encode(beat)
         for domain, peers in far.items():
             last = self._far_told.get(domain)
             if last is not None and now - last < _FAR_SPACING:
@@ -334,79 +250,6 @@
                 del self._peers[address]
 
 
-@final
-class StateServer:
-    """Answers peers that ask for newer state.
-
-    :param answer: what is newer than a question names.
-    """
-
-    def __init__(self, answer: Callable[[Ask], State]) -> None:
-        self._answer = answer
-        self._server: ws_server.Server | None = None
-
-    async def start(self, host: str, port: int) -> None:
-        """Listen."""
-        self._server = await ws_server.serve(
-            self._serve, host, port, max_size=4096, compression=None
-        )
-
-    def close(self) -> None:
-        """Stop listening."""
-        if self._server is not None:
-            self._server.close()
-
-    async def _serve(self, conn: ws_server.ServerConnection) -> None:
-        try:
-            async for frame in conn:
-                ask = msgspec.convert(cbor2.loads(_as_bytes(frame)), Ask)
-                state = msgspec.to_builtins(
-                    self._answer(ask), builtin_types=(bytes,)
-                )
-                await conn.send(cbor2.dumps(state))
-        except (
-            cbor2.CBORDecodeError,
-            msgspec.ValidationError,
-            ws_exceptions.ConnectionClosed,
-        ) as exc:
-            logging.warning("bad question", extra={"why": str(exc)})
-
-
-async def ask(host: str, port: int, question: Ask) -> State | None:
-    """Return what a peer knows beyond ``question``; none if it is away."""
-    try:
-        async with asyncio.timeout(_ASK_S):
-            async with ws_client.connect(
-                f"ws://{host}:{port}/",
-                max_size=_MAX_ANSWER,
-                compression=None,
-                proxy=None,
-            ) as conn:
-                await conn.send(cbor2.dumps(msgspec.to_builtins(question)))
-                frame = _as_bytes(await conn.recv())
-        return msgspec.convert(
-            cbor2.loads(frame), State, builtin_types=(bytes,)
-        )
-    except (
-        OSError,
-        TimeoutError,
-        cbor2.CBORDecodeError,
-        msgspec.ValidationError,
-        ws_exceptions.WebSocketException,
-    ) as exc:
-        logging.warning(
-            "peer did not answer", extra={"peer": host, "why": str(exc)}
-        )
-        return None
-
-
-def _decode(data: bytes) -> Beat | PassedOn:
-    raw = cbor2.loads(data)
-    if isinstance(raw, list) and len(raw) == _PASSED_FIELDS:
-        return msgspec.convert(raw, PassedOn)
-    return msgspec.convert(raw, Beat)
-
-
 def node_addresses(records: list[bytes]) -> list[str]:
     """Return the addresses in the records by which processes register."""
     found = []
@@ -416,7 +259,3 @@
         if host and port.isdigit():
             found.append(text)
     return found
-
-
-def _as_bytes(frame: str | bytes) -> bytes:
-    return frame.encode() if isinstance(frame, str) else frame
--- a/testing/edge/test_claimants.py
+++ b/testing/edge/test_claimants.py
@@ -10,7 +10,7 @@
 
 from lugcross import clock as clock_lib
 from lugcross.edge import knowledge as knowledge_lib
-from lugcross.edge import peers as peers_lib
+from lugcross.edge import messages
 from lugcross.edge import world as world_lib
 from lugcross import experts
 from lugcross import ids
@@ -44,7 +44,7 @@
         reads: bool = True,
     ) -> None:
         """Take a datagram of a peer that started long ago."""
-        beat = peers_lib.Beat(
+        beat = messages.Beat(
             node="n2",
             incarnation="i2",
             domain="d1",
@@ -129,7 +129,7 @@
 def _hear_readers(node: Node, domain: str, *, reads: bool = True) -> None:
     """Take datagrams of two processes that come first by their names."""
     for num in range(2):
-        beat = peers_lib.Beat(
+        beat = messages.Beat(
             node=f"r{num}",
             incarnation=f"!{num}",
             domain=domain,
@@ -182,7 +182,7 @@
 
 
 def _hear_version(node: Node, name: str, domain: str, version: int) -> None:
-    beat = peers_lib.Beat(name, name, domain, 1, False, version, 0, {}, [])
+    beat = messages.Beat(name, name, domain, 1, False, version, 0, {}, [])
     data = cbor2.dumps(msgspec.to_builtins(beat))
     node.known.peers.datagram_received(data, (name, 9))
 
--- a/testing/edge/test_knowledge.py
+++ b/testing/edge/test_knowledge.py
@@ -16,6 +16,7 @@
 from lugcross.edge import follow
 from lugcross.edge import knowledge as knowledge_lib
 from lugcross.edge import loads as loads_lib
+from lugcross.edge import messages
 from lugcross.edge import peers as peers_lib
 from lugcross.edge import settings as settings_lib
 from lugcross.edge import world as world_lib
@@ -238,8 +239,8 @@
         return sum(1 for host, _ in self.sent if host in hosts)
 
 
-def _beat(node: str, domain: str, **fields: object) -> peers_lib.Beat:
-    return peers_lib.Beat(node, node, domain, 1, False, 0, 0, {}, [], **fields)
+def _beat(node: str, domain: str, **fields: object) -> messages.Beat:
+    return messages.Beat(node, node, domain, 1, False, 0, 0, {}, [], **fields)
 
 
 def _encoded(message: msgspec.Struct) -> bytes:
@@ -304,7 +305,7 @@
     gossip = _Gossip()
     beat = _beat("far1", "d2", pass_on=True, number=3)
     gossip.hear("far1", beat)
-    passed = _encoded(peers_lib.PassedOn("far1:9", beat))
+    passed = _encoded(messages.PassedOn("far1:9", beat))
     assert gossip.wire.sent == [("near1", passed), ("near2", passed)]
 
 
@@ -312,7 +313,7 @@
     gossip = _Gossip()
     gossip.clock.advance(datetime.timedelta(seconds=30))
     beat = _beat("far3", "d2", generation=7, pass_on=True)
-    gossip.hear("near1", peers_lib.PassedOn("far3:9", beat))
+    gossip.hear("near1", messages.PassedOn("far3:9", beat))
     live = gossip.peers.live()
     assert [(peer.host, peer.beat.generation) for peer in live] == [
         ("far3", 7)
@@ -325,7 +326,7 @@
     gossip = _Gossip()
     before = gossip.peers.known()
     beat = _beat("own", "d1")
-    gossip.hear("near1", peers_lib.PassedOn("own:9", beat))
+    gossip.hear("near1", messages.PassedOn("own:9", beat))
     assert gossip.peers.known() == before
 
 
@@ -333,6 +334,6 @@
     gossip = _Gossip()
     gossip.hear("far1", _beat("far1", "d2", number=5, generation=2))
     old = _beat("far1", "d2", number=4, generation=1)
-    gossip.hear("near1", peers_lib.PassedOn("far1:9", old))
+    gossip.hear("near1", messages.PassedOn("far1:9", old))
     numbers = {p.host: p.beat.generation for p in gossip.peers.live()}
     assert numbers["far1"] == 2
--- a/testing/support/fleet_rig.py
+++ b/testing/support/fleet_rig.py
@@ -15,7 +15,8 @@
 import virtual_time
 
 from lugcross.edge import knowledge as knowledge_lib
-from lugcross.edge import peers as peers_lib
+from lugcross.edge import messages
+from lugcross.edge import questions
 from lugcross.edge import settings as settings_lib
 from lugcross.edge import sources
 from lugcross.edge import world as world_lib
@@ -107,7 +108,7 @@
         }
         self._tasks: list[asyncio.Task[None]] = []
         monkeypatch.setattr(http1, "connect", self.store.connect)
-        monkeypatch.setattr(peers_lib, "ask", self._ask)
+        monkeypatch.setattr(questions, "ask", self._ask)
 
     def change(self, version: int) -> None:
         """Let the store accept a desired state."""
@@ -133,8 +134,8 @@
         ]
 
     async def _ask(
-        self, host: str, port: int, question: peers_lib.Ask
-    ) -> peers_lib.State | None:
+        self, host: str, port: int, question: messages.Ask
+    ) -> messages.State | None:
         assert port == _STATE_PORT
         await asyncio.sleep(2 * _WAY_S)
         return self.nodes[host].knowledge.answer(question)
