--- a/src/lugcross/edge/sources.py
+++ b/src/lugcross/edge/sources.py
@@ -1,7 +1,9 @@
 # SPDX-License-Identifier: Apache-2.0
 """What a process follows at the store, and how long its reads wait."""
 
+from collections.abc import Callable
 import datetime
+import functools
 
 from lugcross.edge import follow
 from lugcross.edge import knowledge as knowledge_lib
@@ -23,30 +25,49 @@
 ) -> list[follow.Follower]:
     """Return the followers of the desired state and the backend servers."""
 
-    def wait(bound: datetime.timedelta) -> datetime.timedelta:
-        return waiting.news(
-            peers=len(known.peers.live()),
-            bound=bound,
-            contact=world.bounds.contact,
+    def follower(
+        topic: str,
+        take: follow.Taker,
+        bound: Callable[[], datetime.timedelta],
+        gap: datetime.timedelta,
+    ) -> follow.Follower:
+        wait = functools.partial(_wait, known, world, bound, gap)
+        return follow.Follower(
+            store,
+            topic,
+            take,
+            known.trouble,
+            gap=gap,
+            wait=wait,
+            rests=known.rests,
         )
 
     return [
-        follow.Follower(
-            store,
+        follower(
             platform.OPERATOR_TOPIC,
             known.take_desired,
-            known.trouble,
-            gap=_DESIRED_GAP,
-            wait=lambda: wait(world.bounds.change),
-            rests=known.rests,
+            lambda: world.bounds.change,
+            _DESIRED_GAP,
         ),
-        follow.Follower(
-            store,
+        follower(
             platform.BACKENDS_TOPIC,
             known.take_backends,
-            known.trouble,
-            gap=_BACKENDS_GAP,
-            wait=lambda: wait(world.bounds.drain),
-            rests=known.rests,
+            lambda: world.bounds.drain,
+            _BACKENDS_GAP,
         ),
     ]
+
+
+def _wait(
+    known: knowledge_lib.Knowledge,
+    world: world_lib.World,
+    bound: Callable[[], datetime.timedelta],
+    gap: datetime.timedelta,
+) -> datetime.timedelta:
+    """Return how long the next read may wait; settings may have changed."""
+    return waiting.news(
+        peers=len(known.peers.live()),
+        bound=bound(),
+        contact=world.bounds.contact,
+        gap=gap,
+    )
--- a/src/lugcross/edge/waiting.py
+++ b/src/lugcross/edge/waiting.py
@@ -24,20 +24,23 @@
     peers: int,
     bound: datetime.timedelta,
     contact: datetime.timedelta,
+    gap: datetime.timedelta,
 ) -> datetime.timedelta:
     """Return how long a read may wait for news.
 
-    A read whose connection went silent shows it only when its wait and the
-    time for an answer are over. That must leave time to catch up before
-    the store counts as sound again, since all processes' connections may
-    go silent together: of seven processes the last then has a change after
-    2.8 s at most, with waits of 4 s after 9.8 s (192 plays in virtual time).
+    A read whose connection went silent, maybe just before it was sent,
+    shows it only when its wait and the time for an answer are over. That
+    must leave time to catch up before the store counts as sound again, since
+    all processes' connections may go silent together: with waits of 4 s the
+    last of seven processes then had a change after up to 9.8 s, where the
+    store counts as sound after 3 s (192 plays in virtual time).
 
     :param peers: live processes, who tell what is new.
     :param bound: time within which the news must be acted on.
     :param contact: time after which the store counts as sound again.
+    :param gap: rest between two reads.
     """
     alone = bound * _BOUND_PART
     if peers < _ENOUGH_PEERS:
         return alone
-    return min(_MOST, max(alone, contact - ANSWER - _CATCH_UP))
+    return min(_MOST, max(alone, contact - ANSWER - gap - _CATCH_UP))
--- a/testing/support/fleet_rig.py
+++ b/testing/support/fleet_rig.py
@@ -45,7 +45,10 @@
 
     def __init__(self, fleet: "Fleet", name: str, domain: str) -> None:
         self.name = name
+        self.domain = domain
         self.fleet = fleet
+        #: Name by which this process calls the store.
+        self.way = f"store-of-{name}"
         listen = settings_lib.Listen(
             callers=f"{name}:0",
             ready=f"{name}:0",
@@ -56,14 +59,16 @@
             node=name,
             domain=domain,
             listen=listen,
-            store=settings_lib.Store(address="store:1", form="log"),
+            store=settings_lib.Store(address=f"{self.way}:1", form="log"),
             bounds=edge_rig.BOUNDS,
         )
         clock = virtual_time.LoopClock()
         self.world = world_lib.World(
             settings, clock=clock, rng=random.Random(name)
         )
-        self.store = platform.StoreClient("store:1", timeout=_STORE_TIMEOUT)
+        self.store = platform.StoreClient(
+            f"{self.way}:1", timeout=_STORE_TIMEOUT
+        )
         self.knowledge = knowledge_lib.Knowledge(
             settings, self.world, self.store, clock=clock
         )
@@ -72,7 +77,7 @@
     def sendto(self, data: bytes, to: tuple[str, int]) -> None:
         """Take the place of the socket for datagrams."""
         peer = self.fleet.nodes.get(to[0])
-        if peer is not None:
+        if peer is not None and not {self.name, to[0]} & self.fleet.cut:
             origin = (self.name, _PEERS_PORT)
             asyncio.get_running_loop().call_later(
                 _WAY_S, peer.knowledge.peers.datagram_received, data, origin
@@ -85,6 +90,15 @@
             self.knowledge.run(), *(one.run() for one in followers)
         )
 
+    def start(self) -> None:
+        """Run until stopped."""
+        self._task = asyncio.create_task(self.run())
+
+    async def stop(self) -> None:
+        """End at once, as if killed."""
+        self._task.cancel()
+        await asyncio.gather(self._task, return_exceptions=True)
+
     @property
     def version(self) -> int:
         """Version of the desired state that is in force here."""
@@ -106,7 +120,8 @@
             for domain, count in enumerate(domains)
             for number in range(count)
         }
-        self._tasks: list[asyncio.Task[None]] = []
+        #: Processes that are cut off from peers and store.
+        self.cut: set[str] = set()
         monkeypatch.setattr(http1, "connect", self.store.connect)
         monkeypatch.setattr(questions, "ask", self._ask)
 
@@ -117,15 +132,32 @@
         )
 
     def start(self) -> None:
-        """Start all processes, a moment apart."""
+        """Start all processes."""
         for node in self.nodes.values():
-            self._tasks.append(asyncio.create_task(node.run()))
+            node.start()
 
     async def stop(self) -> None:
         """End all processes."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for node in self.nodes.values():
+            await node.stop()
+
+    async def restart(self, name: str) -> None:
+        """Kill a process and start it again, knowing nothing."""
+        old = self.nodes[name]
+        await old.stop()
+        self.nodes[name] = Node(self, name, old.domain)
+        self.nodes[name].start()
+
+    def cut_off(self, name: str) -> None:
+        """Cut a process off; what it has open stays silent for good."""
+        self.cut.add(name)
+        self.store.unreachable.add(self.nodes[name].way)
+        self.store.silence_connections(self.nodes[name].way)
+
+    def reach_again(self, name: str) -> None:
+        """End a cut."""
+        self.cut.discard(name)
+        self.store.unreachable.discard(self.nodes[name].way)
 
     def behind(self, version: int) -> list[str]:
         """Return the processes where ``version`` is not in force."""
@@ -138,4 +170,6 @@
     ) -> messages.State | None:
         assert port == _STATE_PORT
         await asyncio.sleep(2 * _WAY_S)
+        if host in self.cut:
+            return None
         return self.nodes[host].knowledge.answer(question)
--- a/testing/support/silent_store.py
+++ b/testing/support/silent_store.py
@@ -17,25 +17,34 @@
     """The stand-in of the store behind connections that may be silent.
 
     :ivar silent: whether calls, also those under way, get no answer.
+    :ivar unreachable: names of the store by which nobody reaches it.
     """
 
     def __init__(self) -> None:
         self.standin = standin.StoreStandin()
         self.silent = False
+        self.unreachable: set[str] = set()
         self._open: list[_Conn] = []
 
-    def silence_connections(self) -> None:
-        """Make all connections that are open silent for good."""
+    def silence_connections(self, host: str = "") -> None:
+        """Make connections that are open silent for good.
+
+        :param host: name of the store that they were opened by; any
+            without it.
+        """
         for conn in self._open:
-            conn.silent = True
+            conn.silent = conn.silent or host in ("", conn.host)
 
     async def connect(
         self, host: str, port: int, *, timeout_s: float
     ) -> "_Conn":
         """Take the place of :func:`lugcross.http1.connect`."""
-        del host, port, timeout_s
+        del port
+        if host in self.unreachable:
+            await asyncio.sleep(timeout_s)
+            raise http1.NoConnectionError("cut off", remedy="wait")
         await asyncio.sleep(_ANSWER_S)
-        conn = _Conn(self)
+        conn = _Conn(self, host)
         self._open.append(conn)
         return conn
 
@@ -47,8 +56,9 @@
     pending = False
     reusable = True
 
-    def __init__(self, store: SilentStore) -> None:
+    def __init__(self, store: SilentStore, host: str) -> None:
         self._store = store
+        self.host = host
         self.silent = False
         self.used = 0
 
