--- a/testing/support/fleet_rig.py
+++ b/testing/support/fleet_rig.py
@@ -21,6 +21,7 @@
 from lugcross.edge import sources
 from lugcross.edge import world as world_lib
 from lugcross import http1
+from lugcross import ids
 from lugcross import platform
 
 #: One way between two processes, in seconds.
@@ -30,6 +31,11 @@
 _STORE_TIMEOUT = datetime.timedelta(seconds=1.5)
 
 
+def _token() -> str:
+    """Return a token drawn from the generator that a test has seeded."""
+    return f"{random.getrandbits(64):016x}"
+
+
 def state(version: int) -> bytes:
     """Return the record of a desired state that holds nothing."""
     limits = dict.fromkeys(
@@ -112,6 +118,8 @@
     """
 
     def __init__(self, monkeypatch, *domains: int) -> None:
+        # Tokens decide who reads the store: the same ones on every run.
+        monkeypatch.setattr(ids, "new_token", _token)
         self.store = silent_store.SilentStore()
         self.nodes = {
             f"n{domain}-{number}": Node(
