--- a/src/lugcross/edge/attempt.py
+++ b/src/lugcross/edge/attempt.py
@@ -152,7 +152,8 @@
         world.loads.started(self._backend.key, self._plan.service)
         try:
             try:
-                conn = await world.pool.take(self._backend)
+                once = not self._plan.route.repeatable
+                conn = await world.pool.take(self._backend, once=once)
             except http1.NoConnectionError as exc:
                 self._failed(str(exc))
                 return lifecycle.Event.UNREACHED
--- a/src/lugcross/edge/follow.py
+++ b/src/lugcross/edge/follow.py
@@ -20,6 +20,7 @@
 #: Longest wait after a failed call: half of the shortest bound on news, so
 #: that a store that is back is found in time.
 _RETRY_MOST_S = 1.0
+#: Of a read that asks whether the store answers at all.
 _NO_WAIT = datetime.timedelta()
 #: Time between two looks whether reading is needed again, in seconds.
 _REST_S = 0.25
--- a/src/lugcross/edge/pool.py
+++ b/src/lugcross/edge/pool.py
@@ -16,6 +16,10 @@
 #: no time of its own. Short: one that the server has just closed costs a
 #: request whose fate is unknown.
 _REST = datetime.timedelta(seconds=4)
+#: The same for what must not be repeated. The server may have forgotten the
+#: connection, or it may have gone silent, and then whether the request ran
+#: is not known; a new connection costs some milliseconds.
+_REST_ONCE = datetime.timedelta(seconds=1)
 #: What is kept clear of the time that a server tells.
 _REST_MARGIN = datetime.timedelta(seconds=1)
 #: Idle connections kept to one server.
@@ -25,7 +29,14 @@
 @final
 @dataclasses.dataclass(frozen=True)
 class _Idle:
+    """One kept connection.
+
+    :param since: when its last answer ended.
+    :param until: when it is used no more.
+    """
+
     conn: http1.ClientConn
+    since: clock_lib.Instant
     until: clock_lib.Instant
 
 
@@ -37,14 +48,20 @@
         self._clock = clock
         self._idle: dict[desired.BackendKey, list[_Idle]] = {}
 
-    async def take(self, backend: desired.Backend) -> http1.ClientConn:
+    async def take(
+        self, backend: desired.Backend, *, once: bool = False
+    ) -> http1.ClientConn:
         """Return a connection to ``backend``.
 
+        :param once: whether what is sent on it must not be repeated.
         :raises http1.NoConnectionError: when none came up.
         """
         idle = self._idle.get(backend.key, [])
         now = self._clock.monotonic()
         while idle:
+            if once and now - idle[-1].since > _REST_ONCE:
+                # All others have rested longer.
+                break
             one = idle.pop()
             usable = not one.conn.closing and not one.conn.pending
             if usable and now < one.until:
@@ -69,7 +86,8 @@
         if len(idle) >= _IDLE_MOST or not conn.reusable or not rest:
             conn.close()
             return
-        idle.append(_Idle(conn, self._clock.monotonic() + rest))
+        now = self._clock.monotonic()
+        idle.append(_Idle(conn, now, now + rest))
 
     def drop(self, key: desired.BackendKey) -> None:
         """Close what is idle to a server whose connection went silent.
