--- a/src/lugcross/edge/attempt.py
+++ b/src/lugcross/edge/attempt.py
@@ -322,7 +322,7 @@
         return self._world.loads.health(self._backend.key)
 
     def _failed(self, why: str) -> None:
-        ejected = self._world.loads.failed(self._backend.key)
+        ejected = self._health().failed(self._clock.monotonic())
         logging.info(
             "backend server failed",
             extra={
--- a/src/lugcross/edge/knowledge.py
+++ b/src/lugcross/edge/knowledge.py
@@ -220,7 +220,6 @@
             broken=[str(key) for key in self.seen_broken()],
             generation=self.generation() or 0,
             reads=not self.trouble.now and self.can_claim(),
-            ejected=[str(key) for key in self._world.loads.own_ejected()],
         )
 
     def _heard(self, peer: peers_lib.Peer) -> None:
@@ -231,8 +230,7 @@
             desired.BackendKey(key): count
             for key, count in beat.running.items()
         }
-        ejected = map(desired.BackendKey, beat.ejected)
-        self._world.loads.peer_told(beat.node, running, ejected)
+        self._world.loads.peer_told(beat.node, running)
         broken = [desired.BackendKey(key) for key in beat.broken]
         self._world.outages.told(beat.node, broken)
         self.heard_generation(experts.Generation(beat.generation))
--- a/src/lugcross/edge/loads.py
+++ b/src/lugcross/edge/loads.py
@@ -2,7 +2,6 @@
 """How busy each backend server is, from what several sources tell."""
 
 import collections
-from collections.abc import Iterable
 from collections.abc import Mapping
 import dataclasses
 import datetime
@@ -20,9 +19,6 @@
 #: Time within which what was sent here and at peers is not known to each
 #: other: the spacing of their datagrams and the way.
 _UNTOLD = datetime.timedelta(milliseconds=60)
-#: Peers that must have ejected a server for it to be ejected here without
-#: a fault of its own: one alone may have a bad path to it.
-_TELLERS = 2
 #: Age at which a load told in an answer counts no more; about the time
 #: in which a server's requests are replaced by others.
 _TOLD_STALE = datetime.timedelta(milliseconds=500)
@@ -39,7 +35,6 @@
 @dataclasses.dataclass
 class _Peer:
     running: Mapping[desired.BackendKey, int]
-    ejected: frozenset[desired.BackendKey]
     at: clock_lib.Instant
 
 
@@ -58,9 +53,6 @@
         self._told: dict[desired.BackendKey, _Told] = {}
         self._peers: dict[str, _Peer] = {}
         self._health: dict[desired.BackendKey, routing.Health] = {}
-        #: Peers that have ejected any server: mostly none, so that a look
-        #: at each server costs no look at each peer.
-        self._ejecting: set[str] = set()
 
     def started(
         self, key: desired.BackendKey, service: ids.ServiceName
@@ -81,18 +73,10 @@
         self._told[key] = _Told(load, self._clock.monotonic())
 
     def peer_told(
-        self,
-        node: str,
-        running: Mapping[desired.BackendKey, int],
-        ejected: Iterable[desired.BackendKey] = (),
+        self, node: str, running: Mapping[desired.BackendKey, int]
     ) -> None:
-        """Take over what a peer has in progress, and what it has ejected."""
-        peer = _Peer(running, frozenset(ejected), self._clock.monotonic())
-        self._peers[node] = peer
-        if peer.ejected:
-            self._ejecting.add(node)
-        else:
-            self._ejecting.discard(node)
+        """Take over what a peer has in progress."""
+        self._peers[node] = _Peer(running, self._clock.monotonic())
 
     def fresh(self, service: ids.ServiceName) -> int:
         """Return how many were sent that peers' news cannot reflect."""
@@ -128,39 +112,11 @@
         """Return what was seen of ``key`` from here."""
         return self._health.setdefault(key, routing.Health())
 
-    def failed(self, key: desired.BackendKey) -> bool:
-        """Note a fault of ``key``; tell whether it is ejected for it."""
-        return self.health(key).failed(
-            self._clock.monotonic(), suspected=self._tellers(key) > 0
-        )
-
     def ejected(self, key: desired.BackendKey) -> bool:
-        """Tell whether requests should go elsewhere.
-
-        What peers have seen counts as well: a server that fails at once
-        looks the least busy, and each of 30 processes would lose requests
-        to it until it has seen three faults of its own.
-        """
-        return self._own_ejected(key) or self._tellers(key) >= _TELLERS
-
-    def own_ejected(self) -> list[desired.BackendKey]:
-        """Return the servers that were ejected for faults seen here."""
-        return [key for key in self._health if self._own_ejected(key)]
-
-    def _own_ejected(self, key: desired.BackendKey) -> bool:
+        """Tell whether requests should go elsewhere."""
         health = self._health.get(key)
         return health is not None and health.ejected(self._clock.monotonic())
 
-    def _tellers(self, key: desired.BackendKey) -> int:
-        """Return how many live peers have ejected ``key``."""
-        now = self._clock.monotonic()
-        ejecting = [self._peers[node] for node in self._ejecting]
-        return sum(
-            1
-            for peer in ejecting
-            if key in peer.ejected and now - peer.at < _PEER_STALE
-        )
-
     def keep_only(self, known: set[desired.BackendKey]) -> None:
         """Forget servers that are gone."""
         for table in (self._told, self._health):
--- a/src/lugcross/edge/messages.py
+++ b/src/lugcross/edge/messages.py
@@ -25,7 +25,6 @@
     :param pass_on: whether the receiver should pass it on to its domain.
     :param number: rises with each datagram of an incarnation: one that was
         passed on may arrive after a later one.
-    :param ejected: backend servers that it has ejected for faults.
     """
 
     node: str
@@ -43,7 +42,6 @@
     reads: bool = False
     pass_on: bool = False
     number: int = 0
-    ejected: list[str] = []
 
 
 @final
--- a/src/lugcross/routing/health.py
+++ b/src/lugcross/routing/health.py
@@ -50,17 +50,10 @@
         """Note that a request ended without telling anything."""
         self._probing = False
 
-    def failed(
-        self, now: clock_lib.Instant, *, suspected: bool = False
-    ) -> bool:
-        """Note a fault; tell whether it leads to an ejection.
-
-        :param suspected: whether others have ejected it, so that one fault
-            is enough.
-        """
+    def failed(self, now: clock_lib.Instant) -> bool:
+        """Note a fault; tell whether it leads to an ejection."""
         self._faults += 1
-        enough = self._faults >= FAULTS or suspected or self._probing
-        if not enough:
+        if self._faults < FAULTS and not self._probing:
             return False
         if self._until is not None and now < self._until:
             # Faults of requests that were under way already: one
