--- a/src/lugcross/edge/app.py
+++ b/src/lugcross/edge/app.py
@@ -33,7 +33,7 @@
 
 #: Longest wait for the store's answer. Its usual answer takes a few
 #: milliseconds; a slow store needs some hundred.
-_STORE_TIMEOUT = datetime.timedelta(seconds=1.5)
+STORE_TIMEOUT = datetime.timedelta(seconds=1.5)
 #: Time between two rounds of tidying, in seconds.
 _SWEEP_S = 1.0
 #: Part of the grace after which whatever is left is cut.
@@ -77,7 +77,7 @@
         rng = random.Random()
         self.world = world_lib.World(settings, clock=clock, rng=rng)
         self._store = platform.StoreClient(
-            settings.store.address, timeout=_STORE_TIMEOUT
+            settings.store.address, timeout=STORE_TIMEOUT
         )
         self.knowledge = knowledge_lib.Knowledge(
             settings, self.world, self._store, clock=clock
--- a/src/lugcross/edge/peers.py
+++ b/src/lugcross/edge/peers.py
@@ -1,10 +1,11 @@
 # SPDX-License-Identifier: Apache-2.0
-"""What edge processes tell each other, by datagrams and on request.
+"""Whom edge processes tell their news, and when, by datagrams.
 
 Datagrams carry what is stale at once: requests in progress, and how new
 each process's knowledge is. A lost one is replaced by the next, and a
 peer that is cut off holds nobody up. Whoever finds that a peer knows
-more, while the store does not answer, asks that peer over a WebSocket.
+more, while the store does not answer, asks that peer
+(:mod:`lugcross.edge.questions`).
 """
 
 import asyncio
@@ -83,7 +84,7 @@
     ) -> None:
         self._domain = domain
         self._urgent = False
-        #: When each other domain was told last, and by whose hands.
+        #: When each other domain was told last.
         self._far_told: dict[str, clock_lib.Instant] = {}
         self._far_turn = 0
         self._tell = tell
@@ -212,15 +213,21 @@
         # first would wait for ever after a cut.
         far = self._far(self._peers.values())
         far.update(self._far(self.live(_PASSING)))
+        due = [domain for domain in far if self._is_due(domain, now)]
+        if not due:
+            return
         data = messages.encode(beat)
-        for domain, peers in far.items():
-            last = self._far_told.get(domain)
-            if last is not None and now - last < _FAR_SPACING:
-                continue
+        for domain in due:
             self._far_told[domain] = now
             self._far_turn += 1
+            peers = far[domain]
             self._send_to(peers[self._far_turn % len(peers)], data)
 
+    def _is_due(self, domain: str, now: clock_lib.Instant) -> bool:
+        """Tell whether another domain is to hear from this process again."""
+        last = self._far_told.get(domain)
+        return last is None or now - last >= _FAR_SPACING
+
     def _far(self, peers: Iterable[Peer]) -> dict[str, list[Peer]]:
         """Return the peers of other failure domains, by domain."""
         found: dict[str, list[Peer]] = {}
--- a/src/lugcross/edge/sources.py
+++ b/src/lugcross/edge/sources.py
@@ -3,7 +3,6 @@
 
 from collections.abc import Callable
 import datetime
-import functools
 
 from lugcross.edge import follow
 from lugcross.edge import knowledge as knowledge_lib
@@ -23,7 +22,10 @@
     world: world_lib.World,
     known: knowledge_lib.Knowledge,
 ) -> list[follow.Follower]:
-    """Return the followers of the desired state and the backend servers."""
+    """Return the followers of the desired state and the backend servers.
+
+    Bounds are asked for at each read: settings may be read anew.
+    """
 
     def follower(
         topic: str,
@@ -31,7 +33,14 @@
         bound: Callable[[], datetime.timedelta],
         gap: datetime.timedelta,
     ) -> follow.Follower:
-        wait = functools.partial(_wait, known, world, bound, gap)
+        def wait() -> datetime.timedelta:
+            return waiting.news(
+                peers=len(known.peers.live()),
+                bound=bound(),
+                contact=world.bounds.contact,
+                gap=gap,
+            )
+
         return follow.Follower(
             store,
             topic,
@@ -56,18 +65,3 @@
             _BACKENDS_GAP,
         ),
     ]
-
-
-def _wait(
-    known: knowledge_lib.Knowledge,
-    world: world_lib.World,
-    bound: Callable[[], datetime.timedelta],
-    gap: datetime.timedelta,
-) -> datetime.timedelta:
-    """Return how long the next read may wait; settings may have changed."""
-    return waiting.news(
-        peers=len(known.peers.live()),
-        bound=bound(),
-        contact=world.bounds.contact,
-        gap=gap,
-    )
--- a/testing/edge/test_decisions.py
+++ b/testing/edge/test_decisions.py
@@ -4,6 +4,7 @@
 import datetime
 import random
 
+import edge_rig
 from hypothesis import given
 from hypothesis import strategies as st
 import pytest
@@ -24,18 +25,6 @@
 SECOND = datetime.timedelta(seconds=1)
 
 
-def _backend(name: str, domain: str = "d1") -> desired.Backend:
-    return desired.Backend(
-        key=desired.BackendKey(name),
-        service=ids.ServiceName("s"),
-        host="127.0.0.1",
-        port=1,
-        domain=ids.DomainName(domain),
-        slots=6,
-        state=desired.BackendState.READY,
-    )
-
-
 def _choose(*candidates: choice.Candidate, tried: tuple[str, ...] = ()):
     found = choice.choose(
         candidates,
@@ -47,22 +36,24 @@
 
 
 def test_least_busy_is_chosen():
-    one = choice.Candidate(backend=_backend("a"), busy=3)
-    two = choice.Candidate(backend=_backend("b"), busy=2)
+    one = choice.Candidate(backend=edge_rig.backend("a"), busy=3)
+    two = choice.Candidate(backend=edge_rig.backend("b"), busy=2)
     assert _choose(one, two) == "b"
 
 
 def test_own_domain_is_chosen_unless_it_is_busier_by_more_than_the_way():
-    near = choice.Candidate(backend=_backend("near"), busy=2)
-    far = choice.Candidate(backend=_backend("far", "d2"), busy=2)
-    idle = choice.Candidate(backend=_backend("idle", "d2"), busy=0)
+    near = choice.Candidate(backend=edge_rig.backend("near"), busy=2)
+    far = choice.Candidate(backend=edge_rig.backend("far", "d2"), busy=2)
+    idle = choice.Candidate(backend=edge_rig.backend("idle", "d2"), busy=0)
     assert _choose(near, far) == "near"
     assert _choose(near, idle) == "idle"
 
 
 def test_ejected_is_chosen_only_where_nothing_else_is_left():
-    bad = choice.Candidate(backend=_backend("bad"), busy=0, ejected=True)
-    good = choice.Candidate(backend=_backend("good"), busy=5)
+    bad = choice.Candidate(
+        backend=edge_rig.backend("bad"), busy=0, ejected=True
+    )
+    good = choice.Candidate(backend=edge_rig.backend("good"), busy=5)
     assert _choose(bad, good) == "good"
     assert _choose(bad, good, tried=("good",)) == "bad"
     assert _choose(bad, good, tried=("good", "bad")) is None
--- a/testing/edge/test_knowledge.py
+++ b/testing/edge/test_knowledge.py
@@ -5,10 +5,10 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import datetime
-import json
 
 import cbor2
 import edge_rig
+import fleet_rig
 import msgspec
 
 from lugcross import clock as clock_lib
@@ -27,22 +27,6 @@
 HOST = edge_rig.HOST
 
 
-def _state(version: int) -> bytes:
-    return json.dumps(
-        {
-            "version": version,
-            "routes": [],
-            "services": [],
-            "limits": {
-                "header_bytes": 1,
-                "body_bytes": 1,
-                "header_ms": 1,
-                "idle_ms": 1,
-            },
-        }
-    ).encode()
-
-
 BACKEND = b'{"service":"s","address":"10.0.0.1:80","slots":6}'
 
 
@@ -100,7 +84,9 @@
         node = _Node("n1", address, ())
         for offset, version in enumerate((3, 5, 4)):
             record = platform.KeyedRecord(
-                ids.Offset(offset), platform.DESIRED_KEY, _state(version)
+                ids.Offset(offset),
+                platform.DESIRED_KEY,
+                fleet_rig.state(version),
             )
             tail = platform.Tail(end=ids.Offset(9), records=(record,))
             node.knowledge.take_desired(tail, newest=True)
@@ -112,7 +98,7 @@
 def test_malformed_desired_state_leaves_the_one_in_force():
     async def act(store, address):
         node = _Node("n1", address, ())
-        for value in (_state(3), b"{"):
+        for value in (fleet_rig.state(3), b"{"):
             record = platform.KeyedRecord(
                 ids.Offset(0), platform.DESIRED_KEY, value
             )
@@ -127,7 +113,9 @@
     async def act(store, address):
         one = _Node("n1", address, ())
         await one.knowledge.start()
-        one.world.adopt(platform.read_desired(_state(7)), _state(7))
+        one.world.adopt(
+            platform.read_desired(fleet_rig.state(7)), fleet_rig.state(7)
+        )
         row = platform.KeyedRecord(ids.Offset(4), "i-1", BACKEND)
         one.world.backends.apply(
             platform.Tail(end=ids.Offset(5), records=(row,)),
@@ -158,7 +146,9 @@
             tasks.append(asyncio.create_task(node.knowledge.run()))
         await _until(lambda: bool(one.knowledge.peers.live()))
         # Only one of them is told, as if the other's read hung.
-        one.world.adopt(platform.read_desired(_state(8)), _state(8))
+        one.world.adopt(
+            platform.read_desired(fleet_rig.state(8)), fleet_rig.state(8)
+        )
         one.knowledge.peers.changed()
         await _until(lambda: two.world.desired is not None)
         for task in tasks:
--- a/testing/edge/test_news_soak.py
+++ b/testing/edge/test_news_soak.py
@@ -10,7 +10,6 @@
 import os
 import random
 
-import edge_rig
 import fleet_rig
 import pytest
 import virtual_time
@@ -22,12 +21,8 @@
 #: while the list's reader rested, so that its next read was sent on a
 #: silent one 0.4 s later, and ended too late by as much.
 FAILED_ONCE = (4, 82, 98)
-#: Processes of each failure domain.
-DOMAINS = (3, 2, 2)
 #: Rounds of trouble and quiet in a day.
 ROUNDS = 5
-#: Time after which the store counts as sound again, in seconds.
-CONTACT_S = edge_rig.BOUNDS.contact_ms / 1000
 #: Longest trouble, and longest time until the next one begins, in seconds.
 LONGEST_S = 9.0
 #: Time between two looks whether a version goes back, in seconds.
@@ -42,7 +37,7 @@
     def __init__(self, monkeypatch, seed: int) -> None:
         random.seed(seed)
         self.rng = random.Random(seed)
-        self.fleet = fleet_rig.Fleet(monkeypatch, *DOMAINS)
+        self.fleet = fleet_rig.Fleet(monkeypatch, *fleet_rig.DOMAINS)
         self.version = 0
         self.seen: dict[fleet_rig.Node, int] = {}
 
@@ -60,7 +55,7 @@
         self.fleet.start()
         async with asyncio.TaskGroup() as tasks:
             watch = tasks.create_task(self._watch())
-            await asyncio.sleep(CONTACT_S)
+            await asyncio.sleep(fleet_rig.CONTACT_S)
             for _ in range(ROUNDS):
                 await self._round()
             watch.cancel()
@@ -71,7 +66,7 @@
         begun = [self.rng.uniform(0, LONGEST_S) for _ in chosen]
         await asyncio.gather(*map(self._one, chosen, begun))
         self.change()
-        await asyncio.sleep(CONTACT_S)
+        await asyncio.sleep(fleet_rig.CONTACT_S)
         names = [trouble.__name__ for trouble in chosen]
         assert self.fleet.behind(self.version) == [], names
         assert self._lists_behind() == [], names
--- a/testing/edge/test_pool.py
+++ b/testing/edge/test_pool.py
@@ -4,23 +4,14 @@
 import asyncio
 import datetime
 
+import edge_rig
 import pytest
 
 from lugcross import clock as clock_lib
-from lugcross import desired
 from lugcross.edge import pool as pool_lib
 from lugcross import http1
-from lugcross import ids
-
-BACKEND = desired.Backend(
-    key=desired.BackendKey("i-1"),
-    service=ids.ServiceName("app"),
-    host="h",
-    port=1,
-    domain=ids.DomainName("d1"),
-    slots=6,
-    state=desired.BackendState.READY,
-)
+
+BACKEND = edge_rig.backend()
 KEEP = datetime.timedelta(seconds=9)
 
 
--- a/testing/edge/test_silence.py
+++ b/testing/edge/test_silence.py
@@ -19,16 +19,11 @@
 import asyncio
 import random
 
-import edge_rig
 import fleet_rig
 import virtual_time
 
-#: Processes of each failure domain.
-DOMAINS = (3, 2, 2)
 #: Until every process has read, registered and heard of the others, s.
 SETTLED_S = 20.0
-#: Time after which the store counts as sound again, in seconds.
-CONTACT_S = edge_rig.BOUNDS.contact_ms / 1000
 #: How long the store says nothing, in seconds.
 OUTAGE_S = 5.4
 #: When trouble begins after that: anywhere in the cycle of reads, s.
@@ -36,21 +31,21 @@
 
 
 def _late(monkeypatch, trouble, seed: int) -> list[str]:
-    """Return who goes by an older version ``CONTACT_S`` after trouble.
+    """Return who goes by an older version once the store counts as sound.
 
     :param trouble: coroutine that ends when the store is sound again.
     """
     random.seed(seed)
 
     async def main() -> list[str]:
-        fleet = fleet_rig.Fleet(monkeypatch, *DOMAINS)
+        fleet = fleet_rig.Fleet(monkeypatch, *fleet_rig.DOMAINS)
         fleet.change(1)
         fleet.start()
         await asyncio.sleep(SETTLED_S)
         assert fleet.behind(1) == []
         await trouble(fleet)
         fleet.change(2)
-        await asyncio.sleep(CONTACT_S)
+        await asyncio.sleep(fleet_rig.CONTACT_S)
         late = fleet.behind(2)
         await fleet.stop()
         return late
--- a/testing/platform/test_engines.py
+++ b/testing/platform/test_engines.py
@@ -4,23 +4,15 @@
 import asyncio
 import json
 
+import edge_rig
 import pytest
 
 from lugcross import desired
 from lugcross import experts
 from lugcross import http1
-from lugcross import ids
 from lugcross import platform
 
-BACKEND = desired.Backend(
-    key=desired.BackendKey("i-1"),
-    service=ids.ServiceName("s"),
-    host="127.0.0.1",
-    port=1,
-    domain=ids.DomainName("d1"),
-    slots=6,
-    state=desired.BackendState.READY,
-)
+BACKEND = edge_rig.backend()
 LIMITS = experts.Limits(
     sets=2, experts=3, places=2, spare=1, copy_s=0.1, share=0.8
 )
--- a/testing/support/edge_rig.py
+++ b/testing/support/edge_rig.py
@@ -53,6 +53,19 @@
     )
 
 
+def backend(name: str = "i-1", domain: str = "d1") -> desired.Backend:
+    """Return a backend server that nobody starts."""
+    return desired.Backend(
+        key=desired.BackendKey(name),
+        service=ids.ServiceName("s"),
+        host=HOST,
+        port=1,
+        domain=ids.DomainName(domain),
+        slots=6,
+        state=desired.BackendState.READY,
+    )
+
+
 def new_rng() -> random.Random:
     """Return a generator that gives the same on every run."""
     return random.Random(1)
--- a/testing/support/fleet_rig.py
+++ b/testing/support/fleet_rig.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import datetime
 import json
 import random
 
@@ -14,6 +13,7 @@
 import silent_store
 import virtual_time
 
+from lugcross.edge import app
 from lugcross.edge import knowledge as knowledge_lib
 from lugcross.edge import messages
 from lugcross.edge import questions
@@ -24,11 +24,14 @@
 from lugcross import ids
 from lugcross import platform
 
+#: Processes of each failure domain of a small fleet.
+DOMAINS = (3, 2, 2)
+#: Time after which the store counts as sound again, in seconds.
+CONTACT_S = edge_rig.BOUNDS.contact.total_seconds()
 #: One way between two processes, in seconds.
 _WAY_S = 0.001
 _PEERS_PORT = 9
 _STATE_PORT = 8
-_STORE_TIMEOUT = datetime.timedelta(seconds=1.5)
 
 
 def _token() -> str:
@@ -73,7 +76,7 @@
             settings, clock=clock, rng=random.Random(name)
         )
         self.store = platform.StoreClient(
-            f"{self.way}:1", timeout=_STORE_TIMEOUT
+            f"{self.way}:1", timeout=app.STORE_TIMEOUT
         )
         self.knowledge = knowledge_lib.Knowledge(
             settings, self.world, self.store, clock=clock
