Go on with a switch of maps when the first rank's entry has gone

Ruled out: asking any rank for the pass, since only the first one tells whether a pass is held; another process may be switching. Change: where the first rank is off the list no pass is chosen, and the switch is tried again within its usual limits; whether the group has formed anew is asked of the lowest rank that is there.

--- a/src/lugcross/edge/switching.py
+++ b/src/lugcross/edge/switching.py
@@ -10,7 +10,6 @@
 from absl import logging
 
 from lugcross import clock as clock_lib
-from lugcross import desired
 from lugcross.edge import duty as duty_lib
 from lugcross.edge import groups as groups_lib
 from lugcross import experts
@@ -33,6 +32,8 @@
 #: Further time for copying, in seconds: orders reach the ranks one after
 #: the other.
 _COPY_ADD_S = 0.02
+#: The rank at which passes are held.
+_HOLDER = experts.Rank(0)
 
 #: Waits for some seconds.
 Sleep = Callable[[float], Awaitable[None]]
@@ -102,9 +103,13 @@
             await self._name_step(switch)
 
     async def _name_step(self, switch: experts.Switch) -> None:
-        """Choose the pass at which all ranks change."""
+        """Choose the pass at which all ranks change.
+
+        Only the first rank tells whether a pass is held. While its entry is
+        off the list, as in a cut of its failure domain, none is chosen.
+        """
         try:
-            report = await self._engines.report(self._first)
+            report = await self._report(_HOLDER)
         except platform.EngineError as exc:
             logging.info("no step", extra={"why": str(exc)})
             await self._sleep(_AGAIN_S)
@@ -118,9 +123,17 @@
             switch.copied(report.step, ahead=self._group.ahead())
             switch.hold_later(report.step)
 
-    @property
-    def _first(self) -> desired.Backend:
-        return self._group.members[experts.Rank(0)]
+    async def _report(self, rank: experts.Rank) -> experts.Report | None:
+        """Return what a rank reports; none if it is in no group.
+
+        :raises platform.EngineError: when it is silent or off the list.
+        """
+        backend = self._group.members.get(rank)
+        if backend is None:
+            raise platform.EngineError(
+                f"rank {rank} is off the list", remedy="ask again"
+            )
+        return await self._engines.report(backend)
 
     def _may_order(self) -> bool:
         return self._duty.may_order(self._generation)
@@ -154,8 +167,13 @@
         return verdict
 
     async def _check_epoch(self, switch: experts.Switch) -> None:
+        """End the switch if its group has formed anew.
+
+        Every rank knows the epoch; the first one's entry may be gone.
+        """
+        lowest = min(self._group.members, default=_HOLDER)
         try:
-            report = await self._engines.report(self._first)
+            report = await self._report(lowest)
         except platform.EngineError as exc:
             logging.info("no epoch", extra={"why": str(exc)})
             return
--- a/testing/edge/test_maps.py
+++ b/testing/edge/test_maps.py
@@ -305,6 +305,52 @@
     run(act)
 
 
+def _lose_first_entry(rig: Rig, at: experts.Order | type) -> None:
+    """Take rank 0's entry off the list once an order like ``at`` is given."""
+    order = rig.engines.order
+
+    async def watched(
+        backend: desired.Backend, one: experts.Order, *args: object
+    ) -> experts.Verdict:
+        if isinstance(one, at):
+            gone = platform.KeyedRecord(ids.Offset(50), "0", b"")
+            tail = platform.Tail(end=ids.Offset(51), records=(gone,))
+            rig.world.backends.apply(tail, store_was_away=False)
+            rig.world.backends.forget(desired.BackendKey("0"), "test")
+            group = rig.maps._groups.of(SERVICE)[0]
+            group.members.pop(experts.Rank(0), None)
+        return await order(backend, one, *args)
+
+    rig.engines.order = watched
+
+
+@pytest.mark.parametrize(
+    "at",
+    [experts.Prepare, experts.Hold, experts.Arm],
+    ids=lambda at: at.__name__,
+)
+def test_switch_ends_though_the_entry_of_the_first_rank_goes(
+    at: type, caplog: pytest.LogCaptureFixture
+):
+    """A switch ended with an error when rank 0's entry left the list.
+
+    Symptom: ``a switch failed`` with a KeyError of rank 0, at 39.84 s of a
+    day on which a failure domain was cut off. Sequence: a switch is under
+    way; the entry of rank 0 lapses; the driver asks rank 0 for the pass.
+    Cause: the driver looked rank 0 up among the members without asking
+    whether it is there. The line of the log settled it.
+    """
+
+    async def act(rig: Rig) -> None:
+        _lose_first_entry(rig, at)
+        await rig.rounds(5)
+        assert "a switch failed" not in caplog.text
+        used = [rank.used for rank in rig.engines.group.ranks]
+        assert used == [used[0]] * SIZE
+
+    run(act)
+
+
 def test_report_of_an_earlier_life_changes_nothing():
     group = groups_lib.Group("g", SERVICE, LIMITS, SIZE)
     ranks = model_ranks.ModelGroup(SIZE, FIRST)
