Keep sums of loads, look at few servers, and estimate what peers sent unseen

Cause: `Loads.busy` walked all peers' news for each server, three times a request and once more at each pause of a stream; and requests that peers had not told of yet were guessed as this process's own of 60 ms times its peers, so that of 98 processes one that had sent three held back for 294. Ruled out: a cheaper walk (it stays peers x servers); a longer window for the guess (it follows a burst too late). Change: `edge.tally` keeps sums as news arrives and grows old; a choice looks at sixteen servers of its own domain and sixteen of others, at all where there are no more; lists of usable servers are put together anew only when something has changed; `edge.unseen` estimates from the rate at which peers begin requests and the age of their news.

--- /dev/null
+++ b/bench/admission.py
@@ -0,0 +1,98 @@
+# SPDX-License-Identifier: Apache-2.0
+"""Cost of one admission and choice, by the number of peers and servers.
+
+    python bench/admission.py
+
+Prints the time of the look-ups for one request at several sizes, and each
+as a ratio to the smallest; all in one run, so that the machine's speed
+falls out of the ratios.
+"""
+
+import datetime
+import random
+import time
+
+from lugcross import clock as clock_lib
+from lugcross import desired
+from lugcross.edge import settings as settings_lib
+from lugcross.edge import world as world_lib
+from lugcross import ids
+from lugcross import platform
+
+#: Peers and backend servers.
+SIZES = ((7, 16), (29, 64), (98, 192), (400, 760))
+#: Requests measured at each size, and rounds of which the best counts.
+REQUESTS = 300
+ROUNDS = 5
+SERVICE = ids.ServiceName("s")
+
+
+def _world(peers: int, servers: int, rng: random.Random) -> world_lib.World:
+    bounds = settings_lib.Bounds(
+        grace_s=8,
+        drain_ms=2000,
+        change_ms=2000,
+        repeat_ratio=0.2,
+        repeat_window_s=10,
+        repeat_slack=0,
+        contact_ms=3000,
+    )
+    cfg = settings_lib.Settings(
+        node="n0",
+        domain="d0",
+        listen=settings_lib.Listen(
+            callers="h:0", ready="h:0", state="h:0", peers="h:0"
+        ),
+        store=settings_lib.Store(address="h:1", form="log"),
+        bounds=bounds,
+    )
+    clock = clock_lib.ManualClock()
+    clock.advance(datetime.timedelta(seconds=60))
+    world = world_lib.World(cfg, clock=clock, rng=rng)
+    rows = tuple(
+        platform.KeyedRecord(
+            ids.Offset(num),
+            f"i-{num}",
+            b'{"service":"s","address":"10.0.0.1:%d","zone":"d%d","slots":6}'
+            % (1000 + num, num % 5),
+        )
+        for num in range(servers)
+    )
+    tail = platform.Tail(end=ids.Offset(servers), records=rows)
+    world.backends.apply(tail, store_was_away=False)
+    keys = [desired.BackendKey(row.key) for row in rows]
+    for num in range(peers):
+        world.loads.peer_told(f"n{num}", dict.fromkeys(rng.sample(keys, 5), 1))
+    return world
+
+
+def _admit(world: world_lib.World) -> None:
+    """Look up what one request asks for."""
+    found = world.choose(SERVICE, ())
+    assert found is not None
+    world.picture(SERVICE, least=found.least)
+
+
+def _measure(peers: int, servers: int) -> float:
+    """Return the milliseconds of one request."""
+    world = _world(peers, servers, random.Random(1))
+    best = float("inf")
+    for _ in range(ROUNDS):
+        begun = time.perf_counter()
+        for _ in range(REQUESTS):
+            _admit(world)
+        best = min(best, time.perf_counter() - begun)
+    return best / REQUESTS * 1000.0
+
+
+def main() -> None:
+    """Print the table."""
+    first = 0.0
+    for peers, servers in SIZES:
+        took = _measure(peers, servers)
+        first = first or took
+        print(f"{peers:4} x {servers:4}  {took:7.3f} ms  {took / first:6.2f}")
+
+
+if __name__ == "__main__":
+    main()
--- a/src/lugcross/edge/admission.py
+++ b/src/lugcross/edge/admission.py
@@ -24,17 +24,15 @@
     :param servers: backend servers that may be used.
     :param slots: slots of all of them.
     :param busy: requests that all of them probably have.
-    :param least: requests of the least busy one.
-    :param fresh: requests sent from here that peers were not told of.
-    :param peers: other processes that may have sent as many.
+    :param least: requests of the least busy one that was looked at.
+    :param unseen: requests that peers have probably sent and not told yet.
     """
 
     servers: int
     slots: int
     busy: int
     least: int
-    fresh: int
-    peers: int
+    unseen: float
 
 
 def admit(picture: Picture, full: float, *, back: bool) -> str | None:
@@ -46,18 +44,16 @@
     make that one come back late in turn. So the last places are kept for
     those that ask for the first time.
 
-    What peers have sent since they last told is not known; that each of
-    them sent about as many as this process keeps a burst from filling
-    every server before anyone hears of it.
+    What peers have sent since they last told counts, as far as it can be
+    estimated (:mod:`lugcross.edge.unseen`).
 
     :param full: requests that one server may have at once.
     :param back: whether it was refused before.
     """
-    unseen = picture.fresh * picture.peers
     places = full * picture.servers
     if back:
         places = max(places * BACK_PART, picture.slots * _LEAST_PART)
-    room = places - picture.busy - unseen
+    room = places - picture.busy - picture.unseen
     if room < 1.0 or picture.least >= max(full, 1.0):
         return "every backend server is full"
     return None
--- a/src/lugcross/edge/attempt.py
+++ b/src/lugcross/edge/attempt.py
@@ -149,7 +149,7 @@
         :raises http1.CallerGoneError: when nobody reads it.
         """
         world = self._world
-        world.loads.started(self._backend.key, self._plan.service)
+        world.loads.started(self._backend.key)
         try:
             try:
                 once = not self._plan.route.repeatable
--- a/src/lugcross/edge/backends.py
+++ b/src/lugcross/edge/backends.py
@@ -21,6 +21,9 @@
 #: Part of the drain bound for which a leaving server may still be used
 #: where no other is left; the rest covers a request's own way.
 _DRAIN_PART = 0.5
+#: How long a list with leaving servers is used before it is looked through
+#: anew: a small part of what is left of the drain bound.
+_LOOK_AGAIN = datetime.timedelta(milliseconds=50)
 
 
 @final
@@ -40,6 +43,15 @@
     lapsed: bool = False
 
 
+@final
+@dataclasses.dataclass(frozen=True)
+class _List:
+    """Servers that new requests of a service may go to, until then."""
+
+    servers: tuple[desired.Backend, ...]
+    until: clock_lib.Instant
+
+
 @final
 class Backends:
     """The list of backend servers; never goes back to older records.
@@ -57,6 +69,7 @@
         self._drain = drain
         self._known: dict[desired.BackendKey, _Known] = {}
         self._removed: dict[str, ids.Offset] = {}
+        self._lists: dict[ids.ServiceName, _List] = {}
         self.end = ids.Offset(0)
         self.heard: clock_lib.Instant | None = None
         self.records: dict[str, platform.KeyedRecord] = {}
@@ -82,30 +95,55 @@
         self.heard = self._clock.monotonic()
         self._forget()
 
-    def of(self, service: ids.ServiceName) -> list[desired.Backend]:
+    def of(self, service: ids.ServiceName) -> tuple[desired.Backend, ...]:
         """Return the servers that may get new requests of ``service``.
 
-        Leaving ones only where there is no other, and not for long.
+        Leaving ones only where there is no other, and not for long. The
+        same object is returned as long as nothing has changed.
         """
         now = self._clock.monotonic()
+        held = self._lists.get(service)
+        if held is None or now >= held.until:
+            held = self._look_through(service, now)
+            self._lists[service] = held
+        return held.servers
+
+    def _look_through(
+        self, service: ids.ServiceName, now: clock_lib.Instant
+    ) -> _List:
         here = [
             known
             for known in self._known.values()
             if known.backend.service == service
         ]
         ready = [known.backend for known in here if known.leaving_at is None]
+        if len(ready) == len(here):
+            return _List(tuple(ready), datetime.timedelta.max)
         lapsed = [known.backend for known in here if self._held(known, now)]
         # Entries lapse all together; a few that go have left, even if the
         # store was away from here a moment before.
         if len(lapsed) > len(ready):
-            return ready + lapsed
-        return ready or [
+            usable = ready + lapsed
+        else:
+            usable = ready or self._still_leaving(here, now)
+        return _List(tuple(usable), now + _LOOK_AGAIN)
+
+    def _still_leaving(
+        self, here: list[_Known], now: clock_lib.Instant
+    ) -> list[desired.Backend]:
+        """Return leaving servers that may be used for a while."""
+        return [
             known.backend
             for known in here
             if known.leaving_at is not None
             and now - known.leaving_at < self._drain() * _DRAIN_PART
         ]
 
+    def service_of(self, key: desired.BackendKey) -> ids.ServiceName | None:
+        """Return the service of a server; none if it is not known."""
+        known = self._known.get(key)
+        return None if known is None else known.backend.service
+
     def age(self) -> datetime.timedelta:
         """Return how long ago the list was last told."""
         if self.heard is None:
@@ -121,6 +159,7 @@
         known = self._known.pop(key, None)
         if known is None:
             return
+        self._lists.pop(known.backend.service, None)
         self._removed[key] = known.offset
         logging.info("backend server gone", extra={"backend": key, "why": why})
 
@@ -158,6 +197,7 @@
         leaving = backend.state is desired.BackendState.LEAVING
         since = known.leaving_at if known and not known.removed else None
         now = self._clock.monotonic()
+        self._lists.pop(backend.service, None)
         self._known[backend.key] = _Known(
             backend,
             offset,
@@ -188,6 +228,7 @@
         known.offset = offset
         if known.removed:
             return
+        self._lists.pop(known.backend.service, None)
         known.removed = True
         known.lapsed = away and known.leaving_at is None
         if known.leaving_at is None:
--- a/src/lugcross/edge/choice.py
+++ b/src/lugcross/edge/choice.py
@@ -21,7 +21,7 @@
 
 
 @final
-@dataclasses.dataclass(frozen=True, kw_only=True)
+@dataclasses.dataclass(kw_only=True, slots=True)
 class Candidate:
     """One backend server as it looks from here.
 
@@ -39,13 +39,25 @@
         return self.busy / self.backend.slots
 
 
+@final
+@dataclasses.dataclass(frozen=True)
+class Choice:
+    """The best candidate, and how busy the least busy one is.
+
+    :param least: requests of the least busy candidate, tried or not.
+    """
+
+    best: Candidate
+    least: int
+
+
 def choose(
     candidates: Sequence[Candidate],
     *,
     home: ids.DomainName,
     tried: Collection[desired.BackendKey],
     rng: random.Random,
-) -> Candidate | None:
+) -> Choice | None:
     """Return the best candidate; none if every one was tried.
 
     Ejected ones are used only where nothing else is left.
@@ -55,10 +67,11 @@
     pool = sound or left
     if not pool:
         return None
-    return min(
+    best = min(
         pool,
         key=lambda c: (
             c.load + (0.0 if c.backend.domain == home else FAR_COST),
             rng.random(),
         ),
     )
+    return Choice(best, min(c.busy for c in candidates))
--- a/src/lugcross/edge/knowledge.py
+++ b/src/lugcross/edge/knowledge.py
@@ -230,7 +230,9 @@
             desired.BackendKey(key): count
             for key, count in beat.running.items()
         }
-        self._world.loads.peer_told(beat.node, running)
+        self._world.loads.peer_told(
+            beat.node, running, near=self._is_near(beat)
+        )
         broken = [desired.BackendKey(key) for key in beat.broken]
         self._world.outages.told(beat.node, broken)
         self.heard_generation(experts.Generation(beat.generation))
--- a/src/lugcross/edge/loads.py
+++ b/src/lugcross/edge/loads.py
@@ -2,13 +2,18 @@
 """How busy each backend server is, from what several sources tell."""
 
 import collections
+from collections.abc import Callable
+from collections.abc import Iterable
 from collections.abc import Mapping
+from collections.abc import Set
 import dataclasses
 import datetime
 from typing import final
 
 from lugcross import clock as clock_lib
 from lugcross import desired
+from lugcross.edge import tally as tally_lib
+from lugcross.edge import unseen as unseen_lib
 from lugcross import ids
 from lugcross import platform
 from lugcross import routing
@@ -16,98 +21,131 @@
 #: Age at which what a peer told of its requests counts no more: a few of
 #: its messages were lost, or it is gone and so are its requests.
 _PEER_STALE = datetime.timedelta(seconds=1.5)
-#: Time within which what was sent here and at peers is not known to each
-#: other: the spacing of their datagrams and the way.
-_UNTOLD = datetime.timedelta(milliseconds=60)
 #: Age at which a load told in an answer counts no more; about the time
 #: in which a server's requests are replaced by others.
 _TOLD_STALE = datetime.timedelta(milliseconds=500)
+#: Mean age of the news of peers nearby: half of the time between two
+#: datagrams, and the way.
+_NEAR_AGE = datetime.timedelta(milliseconds=30)
+#: The same of peers in other failure domains.
+_FAR_AGE = datetime.timedelta(milliseconds=105)
 
 
 @final
 @dataclasses.dataclass
 class _Told:
-    load: platform.Load
-    at: clock_lib.Instant
-
+    """Requests that an answer told of its server."""
 
-@final
-@dataclasses.dataclass
-class _Peer:
-    running: Mapping[desired.BackendKey, int]
+    requests: int
     at: clock_lib.Instant
 
 
 @final
 class Loads:
-    """Requests in progress at each backend server, as far as known."""
-
-    def __init__(self, clock: clock_lib.Clock) -> None:
+    """Requests in progress at each backend server, as far as known.
+
+    :param service_of: service of a backend server; none if not known.
+    """
+
+    def __init__(
+        self,
+        clock: clock_lib.Clock,
+        *,
+        service_of: Callable[
+            [desired.BackendKey], ids.ServiceName | None
+        ] = lambda key: None,
+    ) -> None:
         self._clock = clock
-        self._own: collections.Counter[desired.BackendKey] = (
-            collections.Counter()
+        self._service_of = service_of
+        self._running: tally_lib.Tally[desired.BackendKey] = tally_lib.Tally(
+            clock, stale=_PEER_STALE
+        )
+        self._unseen = unseen_lib.Unseen(near=_NEAR_AGE, far=_FAR_AGE)
+        #: By backend server; whoever told longest ago comes first.
+        self._told: collections.OrderedDict[desired.BackendKey, _Told] = (
+            collections.OrderedDict()
         )
-        self._sent: collections.deque[
-            tuple[clock_lib.Instant, ids.ServiceName]
-        ] = collections.deque()
-        self._told: dict[desired.BackendKey, _Told] = {}
-        self._peers: dict[str, _Peer] = {}
         self._health: dict[desired.BackendKey, routing.Health] = {}
 
-    def started(
-        self, key: desired.BackendKey, service: ids.ServiceName
-    ) -> None:
+    def started(self, key: desired.BackendKey) -> None:
         """Note that a request was sent from here."""
-        self._own[key] += 1
-        self._sent.append((self._clock.monotonic(), service))
+        self._running.add(key, 1)
         self.health(key).sent(self._clock.monotonic())
 
     def ended(self, key: desired.BackendKey) -> None:
         """Note that a request sent from here is over."""
-        self._own[key] -= 1
-        if not self._own[key]:
-            del self._own[key]
+        self._running.add(key, -1)
 
     def told(self, key: desired.BackendKey, load: platform.Load) -> None:
         """Take over the load that an answer told."""
-        self._told[key] = _Told(load, self._clock.monotonic())
+        self._told[key] = _Told(
+            load.running + load.waiting, self._clock.monotonic()
+        )
+        self._told.move_to_end(key)
 
     def peer_told(
-        self, node: str, running: Mapping[desired.BackendKey, int]
+        self,
+        node: str,
+        running: Mapping[desired.BackendKey, int],
+        *,
+        near: bool = True,
     ) -> None:
-        """Take over what a peer has in progress."""
-        self._peers[node] = _Peer(running, self._clock.monotonic())
-
-    def fresh(self, service: ids.ServiceName) -> int:
-        """Return how many were sent that peers' news cannot reflect."""
+        """Take over what a peer has in progress.
+
+        :param near: whether it is of this process's failure domain.
+        """
+        before = self._running.told(node, running)
+        if before is None:
+            # What it has had in progress for long is no burst.
+            return
         now = self._clock.monotonic()
-        while self._sent and now - self._sent[0][0] > _UNTOLD:
-            self._sent.popleft()
-        return sum(1 for _, other in self._sent if other == service)
+        for key, count in running.items():
+            more = count - before.get(key, 0)
+            service = self._service_of(key) if more > 0 else None
+            if service is not None:
+                self._unseen.began(service, more, now, near=near)
 
-    def peers(self) -> int:
-        """Return how many peers were heard lately."""
-        now = self._clock.monotonic()
-        return sum(
-            1 for peer in self._peers.values() if now - peer.at < _PEER_STALE
-        )
+    def unseen(self, service: ids.ServiceName) -> float:
+        """Return how many requests peers have sent and not told yet."""
+        return self._unseen.of(service, self._clock.monotonic())
 
     def own(self) -> dict[desired.BackendKey, int]:
         """Return what is in progress from here."""
-        return dict(self._own)
+        return self._running.own()
 
     def busy(self, key: desired.BackendKey) -> int:
         """Return how many requests ``key`` probably has."""
-        now = self._clock.monotonic()
-        total = self._own[key]
-        for peer in self._peers.values():
-            if now - peer.at < _PEER_STALE:
-                total += peer.running.get(key, 0)
-        told = self._told.get(key)
-        if told is not None and now - told.at < _TOLD_STALE:
-            total = max(total, told.load.running + told.load.waiting)
+        return self.busy_each([key])[0]
+
+    def busy_each(self, keys: Iterable[desired.BackendKey]) -> list[int]:
+        """Return how many requests each of several servers has."""
+        running = self._running.sums()
+        told = self._fresh_told()
+        return [
+            max(running.get(key, 0), told[key].requests)
+            if key in told
+            else running.get(key, 0)
+            for key in keys
+        ]
+
+    def busy_all(self, keys: Set[desired.BackendKey]) -> int:
+        """Return how many requests several servers probably have."""
+        running = self._running.sums()
+        total = self._running.total(keys)
+        for key, told in self._fresh_told().items():
+            if key in keys:
+                total += max(0, told.requests - running.get(key, 0))
         return total
 
+    def _fresh_told(self) -> Mapping[desired.BackendKey, _Told]:
+        limit = self._clock.monotonic() - _TOLD_STALE
+        while self._told:
+            key = next(iter(self._told))
+            if self._told[key].at > limit:
+                break
+            del self._told[key]
+        return self._told
+
     def health(self, key: desired.BackendKey) -> routing.Health:
         """Return what was seen of ``key`` from here."""
         return self._health.setdefault(key, routing.Health())
--- a/src/lugcross/edge/outages.py
+++ b/src/lugcross/edge/outages.py
@@ -27,16 +27,39 @@
         self._told: dict[
             str, tuple[frozenset[desired.BackendKey], clock_lib.Instant]
         ] = {}
+        self._broken: frozenset[desired.BackendKey] = frozenset()
+        #: Until when what was put together last holds.
+        self._until = datetime.timedelta()
 
     def told(self, teller: str, keys: Collection[desired.BackendKey]) -> None:
         """Take over which servers ``teller`` has seen in broken groups."""
-        if keys:
-            self._told[teller] = frozenset(keys), self._clock.monotonic()
-        else:
+        now = self._clock.monotonic()
+        before, _ = self._told.get(teller, (frozenset(), now))
+        if not keys:
             self._told.pop(teller, None)
+        else:
+            self._told[teller] = frozenset(keys), now
+        if before != frozenset(keys):
+            self._until = now
 
     def broken(self) -> frozenset[desired.BackendKey]:
-        """Return the servers that are bound to refuse now."""
+        """Return the servers that are bound to refuse now.
+
+        The same object is returned as long as nothing has changed.
+        """
         now = self._clock.monotonic()
-        fresh = [keys for keys, at in self._told.values() if now - at < _STALE]
-        return frozenset().union(*fresh)
+        if now >= self._until:
+            self._put_together(now)
+        return self._broken
+
+    def _put_together(self, now: clock_lib.Instant) -> None:
+        for teller, (_, at) in list(self._told.items()):
+            if now - at >= _STALE:
+                del self._told[teller]
+        found: frozenset[desired.BackendKey] = frozenset().union(
+            *(keys for keys, _ in self._told.values())
+        )
+        if found != self._broken:
+            self._broken = found
+        ends = [at + _STALE for _, at in self._told.values()]
+        self._until = min(ends, default=datetime.timedelta.max)
--- a/src/lugcross/edge/runner.py
+++ b/src/lugcross/edge/runner.py
@@ -206,21 +206,24 @@
             self._plan.head.time_left
         )
         found = self._choose()
-        verdict = self._verdict(back=back)
+        verdict = self._verdict(found, back=back)
         if found is None or verdict is not None:
             raise self._refusal(found, verdict)
-        return found.backend
+        return found.best.backend
 
-    def _verdict(self, *, back: bool) -> str | None:
+    def _verdict(
+        self, found: choice.Choice | None, *, back: bool
+    ) -> str | None:
         service = self._plan.service
+        least = found.least if found else 0
         return admission.admit(
-            self._world.picture(service),
+            self._world.picture(service, least=least),
             self._world.full(self._plan.route, service),
             back=back,
         )
 
     def _refusal(
-        self, found: choice.Candidate | None, verdict: str | None
+        self, found: choice.Choice | None, verdict: str | None
     ) -> refusal.RefusedError:
         if found is not None:
             return refusal.overloaded(verdict or "", self._left(), self._rng)
@@ -250,7 +253,7 @@
             if action is not lifecycle.Action.AGAIN or found is None:
                 await self._give_up(action, event)
                 return
-            backend = found.backend
+            backend = found.best.backend
 
     async def _send(self, backend: desired.Backend) -> lifecycle.Event | None:
         attempt = attempt_lib.Attempt(
@@ -286,7 +289,7 @@
             return True
         return self._world.may_repeat(self._plan.service, event)
 
-    def _choose(self) -> choice.Candidate | None:
+    def _choose(self) -> choice.Choice | None:
         return self._world.choose(self._plan.service, self._tried)
 
     async def _give_up(
--- /dev/null
+++ b/src/lugcross/edge/serving.py
@@ -0,0 +1,64 @@
+# SPDX-License-Identifier: Apache-2.0
+"""The backend servers that new requests of a service may go to."""
+
+from collections.abc import Sequence
+import dataclasses
+import random
+from typing import final
+
+from lugcross import desired
+from lugcross import ids
+
+#: Servers of this failure domain, and of all others, that one choice looks
+#: at. The least busy of sixteen is idle or nearly so wherever one in eight
+#: is (for 88 in 100 choices), and processes whose news of each other are
+#: old do not all take the same one.
+_LOOKS = 16
+
+
+@final
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Serving:
+    """Servers that may be used now.
+
+    :param near: those of this process's failure domain.
+    :param far: all others.
+    :param slots: slots of all of them.
+    """
+
+    near: tuple[desired.Backend, ...]
+    far: tuple[desired.Backend, ...]
+    keys: frozenset[desired.BackendKey]
+    slots: int
+
+    def __len__(self) -> int:
+        return len(self.keys)
+
+    @property
+    def all(self) -> tuple[desired.Backend, ...]:
+        """All of them."""
+        return self.near + self.far
+
+    def sample(self, rng: random.Random) -> list[desired.Backend]:
+        """Return the servers that one choice looks at."""
+        return [*_some(self.near, rng), *_some(self.far, rng)]
+
+
+def of(servers: Sequence[desired.Backend], *, home: ids.DomainName) -> Serving:
+    """Return servers sorted by whether they are in the domain ``home``."""
+    return Serving(
+        near=tuple(one for one in servers if one.domain == home),
+        far=tuple(one for one in servers if one.domain != home),
+        keys=frozenset(one.key for one in servers),
+        slots=sum(one.slots for one in servers),
+    )
+
+
+def _some(
+    servers: tuple[desired.Backend, ...], rng: random.Random
+) -> Sequence[desired.Backend]:
+    """Return a run of servers from a place drawn at random."""
+    if len(servers) <= _LOOKS:
+        return servers
+    start = rng.randrange(len(servers))
+    return (servers + servers)[start : start + _LOOKS]
