--- a/src/lugcross/edge/app.py
+++ b/src/lugcross/edge/app.py
@@ -219,6 +219,7 @@
             peers=len(self.knowledge.peers.live()),
             connections=len(self._conns),
         )
+        self.world.figures.running(self.world.uses.by_service())
         give = functools.partial(figures_lib.give, self.world.figures)
         await self._serve_inner(reader, writer, give)
 
--- a/src/lugcross/edge/figures.py
+++ b/src/lugcross/edge/figures.py
@@ -1,17 +1,25 @@
 # SPDX-License-Identifier: Apache-2.0
 """Counters and histograms of one process, as text for collectors."""
 
+from collections.abc import Mapping
 import datetime
+import heapq
 import http
 from typing import final
 
 import prometheus_client
 
 from lugcross import http1
+from lugcross import ids
 
 #: Bounds of the latency histograms, in seconds: around the times within
 #: which answers count as prompt, and up to the longest deadlines.
 _BOUNDS = (0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 1.0, 2.0, 4.0, 8.0)
+#: Workspaces of a service that are told by name, so that figures stay small
+#: however many there are; all others are told as one.
+_NAMED = 20
+#: Stands for all workspaces that are not told by name.
+_REST = "(others)"
 
 
 @final
@@ -39,6 +47,19 @@
             buckets=_BOUNDS,
             registry=self._registry,
         )
+        self._refused = prometheus_client.Counter(
+            "lugcross_workspace_refused",
+            "Requests that got no answer of a backend server.",
+            ("service", "workspace"),
+            registry=self._registry,
+        )
+        self._running = prometheus_client.Gauge(
+            "lugcross_workspace_running",
+            "Requests in progress at all processes, as far as known here.",
+            ("service", "workspace"),
+            registry=self._registry,
+        )
+        self._refused_named: set[tuple[str, str]] = set()
         self._gauges = {
             name: prometheus_client.Gauge(
                 f"lugcross_{name}", text, registry=self._registry
@@ -65,6 +86,33 @@
         """Count one attempt at a backend server."""
         self._attempts.labels(service, event).inc()
 
+    def refused(self, service: str, workspace: str) -> None:
+        """Count a request that ends without a backend server's answer.
+
+        The first workspaces that are refused are told by name.
+        """
+        named = self._refused_named
+        if (service, workspace) not in named:
+            if len(named) < _NAMED:
+                named.add((service, workspace))
+            else:
+                workspace = _REST
+        self._refused.labels(service, workspace).inc()
+
+    def running(
+        self,
+        uses: Mapping[ids.ServiceName, Mapping[ids.WorkspaceName, int]],
+    ) -> None:
+        """Set what each service's heaviest workspaces have in progress."""
+        self._running.clear()
+        for service, counts in uses.items():
+            named = heapq.nlargest(_NAMED, counts, key=counts.__getitem__)
+            for space in named:
+                self._running.labels(service, space).set(counts[space])
+            rest = sum(counts.values()) - sum(counts[one] for one in named)
+            if rest:
+                self._running.labels(service, _REST).set(rest)
+
     def now(self, **values: float) -> None:
         """Set gauges to what holds now."""
         for name, value in values.items():
--- a/src/lugcross/edge/runner.py
+++ b/src/lugcross/edge/runner.py
@@ -133,6 +133,8 @@
     ) -> None:
         service = plan.service if plan else ""
         self._world.figures.answered(service, exc.status, None)
+        if plan is not None and plan.space is not None:
+            self._world.figures.refused(service, plan.space)
         inputs: dict[str, object] = {}
         if plan is not None:
             picture = self._world.picture(plan.service)
@@ -142,21 +144,39 @@
                 "version": plan.version,
                 "servers": picture.servers,
                 "busy": picture.busy,
+                "unseen": round(picture.unseen, 1),
                 "full": round(self._world.full(plan.route, plan.service), 2),
+                **self._share(plan, picture),
                 "list_age_s": round(
                     self._world.backends.age().total_seconds(), 3
                 ),
             }
+        wait = exc.retry_after
         logging.info(
             "refused",
             extra={
                 "request": head.attempt_id,
                 "status": exc.status.value,
                 "why": exc.what,
+                "retry_after_ms": None if wait is None else round(wait / _MS),
                 **inputs,
             },
         )
 
+    def _share(
+        self, plan: attempt_lib.Plan, picture: admission.Picture
+    ) -> dict[str, object]:
+        """Return for a log line what the request's workspace may have."""
+        if plan.space is None:
+            return {}
+        claim = self._world.uses.claim(plan.service, plan.space)
+        places = self._world.full(plan.route, plan.service) * picture.servers
+        return {
+            "workspace": plan.space,
+            "use": claim.use,
+            "share": round(claim.share(places), 1),
+        }
+
 
 @final
 class _Run:
@@ -325,6 +345,7 @@
                 "request": plan.head.attempt_id,
                 "service": plan.service,
                 "route": plan.route.name,
+                "workspace": plan.space,
                 "version": plan.version,
                 "backend": backend.key,
                 "domain": backend.domain,
--- a/testing/edge/test_shares.py
+++ b/testing/edge/test_shares.py
@@ -12,6 +12,7 @@
 from lugcross import clock as clock_lib
 from lugcross import desired
 from lugcross.edge import admission
+from lugcross.edge import figures
 from lugcross.edge import settings as settings_lib
 from lugcross.edge import uses
 from lugcross import ids
@@ -238,3 +239,21 @@
 def test_more_urgent_kinds_of_one_service_are_counted(priority, behind):
     assert _state(1, 2, 2, 5).behind(SERVICE, priority) == behind
     assert _state(1).behind(ids.ServiceName("other"), 9) == 0
+
+
+def test_figures_name_the_heaviest_workspaces_only():
+    found = figures.Figures()
+    counts = {ids.WorkspaceName(f"w{num}"): 1 + num for num in range(25)}
+    found.running({SERVICE: counts})
+    for num in range(25):
+        found.refused("s", f"w{num}")
+    text = found.text().decode()
+    running = [
+        line
+        for line in text.splitlines()
+        if line.startswith("lugcross_workspace_running{")
+    ]
+    assert len(running) == 21
+    assert 'workspace="w24"} 25.0' in text
+    assert 'running{service="s",workspace="(others)"} 15.0' in text
+    assert 'refused_total{service="s",workspace="(others)"} 5.0' in text
