Show who has how much of a service with `lugcross shares`

Operators had the counters of workspaces as text only. The command asks one or more processes for their figures and prints what each workspace has in progress (as known by one of them) and whom they refused, summed. 2 tests over a socket on loopback; a process that does not answer is named with the remedy.

--- a/src/lugcross/cli/main.py
+++ b/src/lugcross/cli/main.py
@@ -21,6 +21,7 @@
     "entry": "lugcross.cli.daemon:entry",
     "explain": "lugcross.cli.explain:explain",
     "plan": "lugcross.cli.plan:plan",
+    "shares": "lugcross.cli.shares:shares",
     "standin": "lugcross.cli.standin:standin",
 }
 
--- /dev/null
+++ b/src/lugcross/cli/shares.py
@@ -0,0 +1,97 @@
+# SPDX-License-Identifier: Apache-2.0
+"""Shows which workspaces have how much of each service now."""
+
+import collections
+from collections.abc import Iterable
+import dataclasses
+from typing import final
+
+import click
+from prometheus_client import parser
+import urllib3
+
+#: Longest wait for a process's figures, in seconds; they are there at once.
+_ANSWER_S = 5.0
+_RUNNING = "lugcross_workspace_running"
+_REFUSED = "lugcross_workspace_refused_total"
+
+
+@final
+@dataclasses.dataclass(frozen=True)
+class _Space:
+    service: str
+    workspace: str
+
+
+@final
+class _Table:
+    """What some processes tell of each workspace.
+
+    Each process tells what all of them have running, as far as it has
+    heard, and what it has refused itself.
+    """
+
+    def __init__(self) -> None:
+        self.running: dict[_Space, int] = {}
+        self.refused: collections.Counter[_Space] = collections.Counter()
+
+    def take(self, text: str) -> None:
+        """Take over the figures of one process."""
+        for family in parser.text_string_to_metric_families(text):
+            for sample in family.samples:
+                if sample.name not in (_RUNNING, _REFUSED):
+                    continue
+                labels = sample.labels
+                space = _Space(labels["service"], labels["workspace"])
+                count = int(sample.value)
+                if sample.name == _RUNNING:
+                    most = max(count, self.running.get(space, 0))
+                    self.running[space] = most
+                else:
+                    self.refused[space] += count
+
+    def rows(self) -> Iterable[str]:
+        """Return a line a workspace, the heaviest of each service first."""
+        spaces = sorted(
+            self.running.keys() | self.refused.keys(),
+            key=lambda one: (one.service, -self.running.get(one, 0)),
+        )
+        for one in spaces:
+            running = self.running.get(one, 0)
+            refused = self.refused[one]
+            names = f"{one.service:20} {one.workspace:20}"
+            yield f"{names} {running:8} {refused:8}"
+
+
+def _figures(address: str) -> str:
+    try:
+        answer = urllib3.request(
+            "GET",
+            f"http://{address}/metrics",
+            timeout=_ANSWER_S,
+            retries=False,
+        )
+    except urllib3.exceptions.HTTPError as exc:
+        raise click.ClickException(
+            f"{address} does not answer ({exc}); give the address that is"
+            " `listen.metrics` in its settings"
+        ) from exc
+    return str(answer.data.decode())
+
+
+@click.command()
+@click.argument("addresses", nargs=-1, required=True, metavar="HOST:PORT...")
+def shares(addresses: tuple[str, ...]) -> None:
+    """Show who has how many requests in progress, and whom it was refused.
+
+    One process at HOST:PORT (its figures) knows what all of them have in
+    progress; refusals are summed over those that are named.
+    """
+    table = _Table()
+    for address in addresses:
+        table.take(_figures(address))
+    click.echo(
+        f"{'service':20} {'workspace':20} {'running':>8} {'refused':>8}"
+    )
+    for row in table.rows():
+        click.echo(row)
--- /dev/null
+++ b/testing/cli/test_shares.py
@@ -0,0 +1,64 @@
+# SPDX-License-Identifier: Apache-2.0
+"""Operators see who has how much of a service, and who was refused."""
+
+from collections.abc import Iterator
+import http.server
+import threading
+
+from click import testing as click_testing
+import pytest
+
+from lugcross.cli import shares
+from lugcross.edge import figures
+from lugcross import ids
+
+HOST = "127.0.0.1"
+
+
+def _figures(refused: int) -> bytes:
+    found = figures.Figures()
+    counts = {ids.WorkspaceName("a"): 3, ids.WorkspaceName("b"): 40}
+    found.running({ids.ServiceName("llm"): counts})
+    for _ in range(refused):
+        found.refused("llm", "b")
+    return found.text()
+
+
+@pytest.fixture
+def address() -> Iterator[str]:
+    """Return where a process's figures are."""
+
+    class Handler(http.server.BaseHTTPRequestHandler):
+        def do_GET(self) -> None:
+            self.send_response(200)
+            self.end_headers()
+            self.wfile.write(_figures(refused=7))
+
+        def log_message(self, *args: object) -> None:
+            del args
+
+    server = http.server.HTTPServer((HOST, 0), Handler)
+    thread = threading.Thread(target=server.serve_forever)
+    thread.start()
+    yield f"{HOST}:{server.server_port}"
+    server.shutdown()
+    thread.join()
+    server.server_close()
+
+
+def test_heaviest_workspace_comes_first_and_refusals_are_summed(address: str):
+    runner = click_testing.CliRunner()
+    found = runner.invoke(shares.shares, [address, address])
+    assert found.exit_code == 0, found.output
+    rows = [line.split() for line in found.output.splitlines()]
+    assert rows == [
+        ["service", "workspace", "running", "refused"],
+        ["llm", "b", "40", "14"],
+        ["llm", "a", "3", "0"],
+    ]
+
+
+def test_process_that_does_not_answer_is_named_with_the_remedy():
+    found = click_testing.CliRunner().invoke(shares.shares, [f"{HOST}:1"])
+    assert found.exit_code == 1
+    assert "listen.metrics" in found.output
