--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: venv demo test lint types proto
+.PHONY: venv demo test soak lint types proto
 
 venv: $(VENV)/.done
 
@@ -27,6 +27,12 @@
 	$(BIN)/pytest -n $(TEST_JOBS) $(DECISIONS)
 	$(BIN)/pytest $(addprefix --ignore=,$(DECISIONS))
 
+# Faults around real processes: SEEDS seeds from SEED on; CI runs three.
+SEED ?= 1
+SEEDS ?= 50
+soak: venv
+	SOAK_SEED=$(SEED) SOAK_SEEDS=$(SEEDS) $(BIN)/pytest testing/soak
+
 lint: venv
 	$(BIN)/ruff format --check .
 	$(BIN)/flake8 src testing bench
--- /dev/null
+++ b/testing/soak/test_soak.py
@@ -0,0 +1,189 @@
+# SPDX-License-Identifier: Apache-2.0
+"""Real processes keep their promises while all around them fails.
+
+By hand, with other seeds: ``make soak SEED=100 SEEDS=50``. A seed names the
+faults, their order and who is hit; how requests and faults interleave is up
+to the machine.
+"""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import os
+import pathlib
+import random
+import signal
+
+import pytest
+import soak_checks
+import soak_fleet
+
+FIRST = int(os.environ.get("SOAK_SEED", "1"))
+COUNT = int(os.environ.get("SOAK_SEEDS", "3"))
+#: Seeds that failed once, with the cause.
+FAILED_ONCE: tuple[int, ...] = ()
+PROCESSES = 3
+SERVERS = 4
+ROUNDS = 4
+#: Callers of each process, and requests of each in a round.
+CALLERS = 2
+REQUESTS = 6
+
+
+class _Day:
+    """One fleet, its callers and the faults that a seed chooses."""
+
+    def __init__(self, path: pathlib.Path, seed: int) -> None:
+        self.rng = random.Random(seed)
+        self.fleet = soak_fleet.Fleet(
+            path, processes=PROCESSES, servers=SERVERS
+        )
+        self._half = asyncio.Event()
+        self._done = 0
+        self._round = 0
+        self._left: list[soak_fleet.Process] = []
+
+    async def run(self) -> soak_checks.History:
+        await self.fleet.start()
+        callers = [
+            soak_fleet.Caller(one.ports["callers"], self.fleet.history)
+            for one in self.fleet.processes
+            for _ in range(CALLERS)
+        ]
+        try:
+            for _ in range(ROUNDS):
+                await self._one_round(callers)
+        finally:
+            for caller in callers:
+                caller.close()
+            await self.fleet.stop()
+        return self.fleet.history
+
+    async def _one_round(self, callers: list[soak_fleet.Caller]) -> None:
+        self._round += 1
+        self._half.clear()
+        self._done = 0
+        self._left = self.rng.sample(self.fleet.processes, PROCESSES)
+        faults = self.rng.sample(FAULTS, self.rng.randint(1, 3))
+        planned = faults == [stop_and_start]
+        self.fleet.change()
+        await asyncio.gather(
+            *(fault(self) for fault in faults),
+            *(
+                self._ask(num, caller, planned)
+                for num, caller in enumerate(callers)
+            ),
+        )
+        await self.fleet.settled()
+
+    async def _ask(
+        self, num: int, caller: soak_fleet.Caller, planned: bool
+    ) -> None:
+        for count in range(REQUESTS):
+            kind = random.Random(f"{self._round}-{num}-{count}").choice(
+                list(soak_checks.Kind)
+            )
+            name = f"r{self._round}-c{num}-{count}"
+            await caller.ask(name, kind, planned=planned)
+            self._done += 1
+            if self._done >= PROCESSES * CALLERS * REQUESTS // 2:
+                self._half.set()
+
+    async def half(self) -> None:
+        """Return once half of the round's requests have ended."""
+        await self._half.wait()
+
+    def process(self) -> soak_fleet.Process:
+        """Return one that no other fault of this round has hit."""
+        return self._left.pop()
+
+
+async def store_connections_go_silent(day: _Day) -> None:
+    for one in day.rng.sample(day.fleet.processes, 2):
+        one.store.silence()
+
+
+async def server_connections_go_silent(day: _Day) -> None:
+    for way in day.rng.sample(day.fleet.ways, 2):
+        way.silence()
+
+
+async def server_connections_are_reset(day: _Day) -> None:
+    for way in day.rng.sample(day.fleet.ways, 2):
+        way.reset()
+    await day.half()
+    for way in day.fleet.ways:
+        way.reset()
+
+
+async def answers_of_a_server_are_lost(day: _Day) -> None:
+    way = day.rng.choice(day.fleet.ways)
+    way.deaf = True
+    await day.half()
+    way.deaf = False
+    way.reset()
+
+
+async def store_turns_all_away(day: _Day) -> None:
+    day.fleet.store.busy = True
+    await day.half()
+    day.fleet.store.busy = False
+
+
+async def store_is_silent_to_one(day: _Day) -> None:
+    way = day.process().store
+    way.silent = True
+    way.silence()
+    await day.half()
+    way.silent = False
+    way.reset()
+
+
+async def process_is_paused(day: _Day) -> None:
+    one = day.process()
+    one.signal(signal.SIGSTOP)
+    await day.half()
+    one.signal(signal.SIGCONT)
+
+
+async def process_is_killed(day: _Day) -> None:
+    one = day.process()
+    one.signal(signal.SIGCONT)
+    one.signal(signal.SIGKILL)
+    await one.ended()
+    await one.start()
+
+
+async def stop_and_start(day: _Day) -> None:
+    one = day.process()
+    one.signal(signal.SIGTERM)
+    one.signal(signal.SIGCONT)
+    await one.ended()
+    await one.start()
+
+
+Fault = Callable[[_Day], Awaitable[None]]
+FAULTS: list[Fault] = [
+    store_connections_go_silent,
+    server_connections_go_silent,
+    server_connections_are_reset,
+    answers_of_a_server_are_lost,
+    store_turns_all_away,
+    store_is_silent_to_one,
+    process_is_paused,
+    process_is_killed,
+    stop_and_start,
+]
+
+
+@pytest.mark.parametrize(
+    "seed", sorted({*range(FIRST, FIRST + COUNT), *FAILED_ONCE})
+)
+def test_promises_hold_through_overlapping_faults(
+    tmp_path: pathlib.Path, seed: int
+):
+    history = asyncio.run(_Day(tmp_path, seed).run())
+    assert history.broken() == []
+    answered = sum(call.status == soak_checks.OK for call in history.calls)
+    # Without answers the checks would say nothing.
+    assert answered > len(history.calls) / 3
--- /dev/null
+++ b/testing/support/soak_fleet.py
@@ -0,0 +1,336 @@
+# SPDX-License-Identifier: Apache-2.0
+"""Real edge processes between callers, backend servers and a store."""
+
+import asyncio
+import collections
+import json
+import os
+import pathlib
+import signal
+import sys
+
+import edge_rig
+import soak_checks
+import soak_proxy
+
+from lugcross import http1
+from lugcross import platform
+from lugcross.standin import store as standin
+
+HOST = soak_proxy.HOST
+#: Time that callers give a request, in ms; also the routes' limit.
+LIMIT_MS = 2000
+#: Longest wait of a caller for an answer, in seconds; past it, it leaves.
+_LEAVES_S = 6.0
+_WORK_S = 0.005
+
+
+class Server:
+    """A backend server that keeps what it ran."""
+
+    def __init__(self, ran: collections.Counter[str]) -> None:
+        self._ran = ran
+        self._server: asyncio.Server | None = None
+        self.port = 0
+
+    async def start(self) -> None:
+        self._server = await asyncio.start_server(self._serve, HOST, 0)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    def close(self) -> None:
+        assert self._server is not None
+        self._server.close()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            while True:
+                await self._one(reader, writer)
+        except (OSError, asyncio.IncompleteReadError):
+            writer.close()
+
+    async def _one(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        head = await reader.readuntil(b"\r\n\r\n")
+        line, *lines = head[:-4].split(b"\r\n")
+        fields = dict(one.split(b":", 1) for one in lines)
+        headers = {name.lower(): fields[name].strip() for name in fields}
+        await reader.readexactly(int(headers.get(b"content-length", b"0")))
+        name = headers[b"attempt-identifier"].decode()
+        kind = soak_checks.Kind(line.split(b"/")[1].decode())
+        self._ran[name] += 1
+        await asyncio.sleep(_WORK_S)
+        writer.write(
+            b"HTTP/1.1 200 OK\r\nResponse-Seal: s\r\nAttempt-Identifier: %s"
+            b"\r\n" % name.encode()
+        )
+        if kind is soak_checks.Kind.STREAM:
+            last = int(headers.get(b"last-event-id", b"0"))
+            await self._stream(writer, name, last)
+        else:
+            body = soak_checks.answer_to(kind, name)
+            writer.write(b"Content-Length: %d\r\n\r\n%s" % (len(body), body))
+        await writer.drain()
+
+    async def _stream(
+        self, writer: asyncio.StreamWriter, name: str, last: int
+    ) -> None:
+        writer.write(
+            b"Content-Type: text/event-stream\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n"
+        )
+        for num in range(last + 1, soak_checks.EVENTS + 1):
+            event = soak_checks.event(name, num)
+            writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+            await writer.drain()
+            await asyncio.sleep(_WORK_S)
+        writer.write(b"0\r\n\r\n")
+
+
+class Process:
+    """One edge process; started again at the same ports."""
+
+    def __init__(
+        self,
+        name: str,
+        domain: str,
+        store: soak_proxy.Proxy,
+        path: pathlib.Path,
+    ) -> None:
+        self.name = name
+        self.store = store
+        self.lives = 0
+        self.ports = {
+            what: edge_rig.free_port()
+            for what in ("callers", "ready", "state", "peers")
+        }
+        listen = {what: f"{HOST}:{port}" for what, port in self.ports.items()}
+        settings = {
+            "node": name,
+            "domain": domain,
+            "listen": listen,
+            "store": {"address": f"{HOST}:{store.port}", "form": "log"},
+            "bounds": {
+                "grace_s": 8,
+                "drain_ms": 2000,
+                "change_ms": 2000,
+                "repeat_ratio": 0.2,
+                "repeat_window_s": 10,
+                "repeat_slack": 30,
+                "contact_ms": 3000,
+            },
+        }
+        self._file = path / f"{name}.yaml"
+        self._file.write_text(json.dumps(settings), encoding="utf-8")
+        self._log = path / f"{name}.log"
+        self._proc: asyncio.subprocess.Process | None = None
+
+    async def start(self) -> None:
+        """Start a new life."""
+        self.lives += 1
+        with self._log.open("ab") as log:
+            log.write(b'{"message": "life"}\n')
+            log.flush()
+            self._proc = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "lugcross",
+                "edge",
+                env={**os.environ, "LUGCROSS_CONFIG": str(self._file)},
+                stdout=log,
+                stderr=log,
+            )
+
+    def signal(self, num: signal.Signals) -> None:
+        assert self._proc is not None
+        if self._proc.returncode is None:
+            self._proc.send_signal(num)
+
+    async def ended(self) -> None:
+        assert self._proc is not None
+        await self._proc.wait()
+
+    def versions(self) -> list[soak_checks.Version]:
+        """Return what its log tells of versions put in force."""
+        found = []
+        life = 0
+        for line in self._log.read_text(encoding="utf-8").splitlines():
+            if not line.startswith("{"):
+                continue
+            told = json.loads(line)
+            if told["message"] == "life":
+                life += 1
+            elif told["message"] == "desired state":
+                one = soak_checks.Version(
+                    f"{self.name}-{life}", told["version"]
+                )
+                found.append(one)
+        return found
+
+    def errors(self) -> list[str]:
+        """Return what is no line of the product's log: tracebacks."""
+        text = self._log.read_text(encoding="utf-8")
+        return [line for line in text.splitlines() if line[:1] != "{"]
+
+
+class Fleet:
+    """Processes, the proxies around them, and what was seen."""
+
+    def __init__(self, path: pathlib.Path, *, processes: int, servers: int):
+        self._path = path
+        self.history = soak_checks.History()
+        self.store = standin.StoreStandin()
+        self.servers = [Server(self.history.ran) for _ in range(servers)]
+        self.ways: list[soak_proxy.Proxy] = []
+        self.processes: list[Process] = []
+        self._count = processes
+        self.version = 0
+
+    async def start(self) -> None:
+        """Start everything and wait until all processes are ready."""
+        _, _, port = (await self.store.start(HOST)).rpartition(":")
+        for server in self.servers:
+            await server.start()
+            way = soak_proxy.Proxy(server.port)
+            await way.start()
+            self.ways.append(way)
+        for num, way in enumerate(self.ways):
+            row = {
+                "service": "app",
+                "address": f"{HOST}:{way.port}",
+                "zone": f"d{num % 3}",
+                "slots": 8,
+            }
+            self.store.append(
+                platform.BACKENDS_TOPIC, f"i-{num}", json.dumps(row).encode()
+            )
+        self.change()
+        for num in range(self._count):
+            store_way = soak_proxy.Proxy(int(port))
+            await store_way.start()
+            one = Process(f"n{num}", f"d{num % 3}", store_way, self._path)
+            self.processes.append(one)
+            await one.start()
+        await self.settled()
+
+    async def stop(self) -> None:
+        """End what this fleet has started."""
+        for one in self.processes:
+            one.signal(signal.SIGCONT)
+            one.signal(signal.SIGKILL)
+            await one.ended()
+            self.history.versions += one.versions()
+            self.history.errors += one.errors()
+            one.store.close()
+        for way in self.ways:
+            way.close()
+        for server in self.servers:
+            server.close()
+        self.store.close()
+
+    def change(self) -> None:
+        """Let the operator change the desired state."""
+        self.version += 1
+        routes = [
+            {
+                "name": kind.value,
+                "host": "h",
+                "path_prefix": f"/{kind.value}/",
+                "kind": "streaming" if kind.value == "stream" else kind.value,
+                "timeout_ms": LIMIT_MS,
+                "service": "app",
+                "attempts": 3,
+                "resumable": kind.value == "stream",
+            }
+            for kind in soak_checks.Kind
+        ]
+        state = {
+            "version": self.version,
+            "routes": routes,
+            "services": [{"name": "app"}],
+            "limits": {
+                "header_bytes": 4096,
+                "body_bytes": 4096,
+                "header_ms": 60000,
+                "idle_ms": 60000,
+            },
+        }
+        self.store.append(
+            platform.OPERATOR_TOPIC,
+            platform.DESIRED_KEY,
+            json.dumps(state).encode(),
+        )
+
+    async def settled(self) -> None:
+        """Return once each process serves a request on a new connection."""
+        for num, one in enumerate(self.processes):
+            tries = 0
+            while True:
+                tries += 1
+                name = f"settle-{self.version}-{num}-{tries}"
+                caller = Caller(one.ports["callers"], self.history)
+                call = await caller.ask(name, soak_checks.Kind.SAFE)
+                caller.close()
+                if call.status == soak_checks.OK:
+                    break
+                await asyncio.sleep(0.05)
+
+
+class Caller:
+    """Sends requests on one connection for as long as that is open."""
+
+    def __init__(self, port: int, history: soak_checks.History) -> None:
+        self._port = port
+        self._history = history
+        self._conn: http1.ClientConn | None = None
+
+    def close(self) -> None:
+        if self._conn is not None:
+            self._conn.close()
+            self._conn = None
+
+    async def ask(
+        self, name: str, kind: soak_checks.Kind, *, planned: bool = False
+    ) -> soak_checks.Call:
+        """Send one request; keep and return what came of it."""
+        got = soak_checks.Call(name=name, kind=kind, planned=planned)
+        parts: list[bytes] = []
+        status, whole = 0, False
+        try:
+            async with asyncio.timeout(_LEAVES_S):
+                conn = await self._open()
+                method = b"POST" if kind is soak_checks.Kind.UNSAFE else b"GET"
+                headers = [
+                    (b"Host", b"h"),
+                    (b"Attempt-Identifier", name.encode()),
+                    (b"Time-Remaining", b"%d" % LIMIT_MS),
+                ]
+                if method == b"POST":
+                    headers.append((b"Content-Length", b"0"))
+                target = f"/{kind.value}/x".encode()
+                conn.send(method, target, headers, b"")
+                status = (await conn.answer()).status
+                while (data := await conn.data()) is not None:
+                    parts.append(data)
+                whole = True
+        except (http1.BrokenError, http1.NoConnectionError, TimeoutError):
+            self.close()
+        if self._conn is not None and not self._conn.reusable:
+            self.close()
+        got = soak_checks.Call(
+            name=name,
+            kind=kind,
+            status=status,
+            body=b"".join(parts),
+            whole=whole,
+            planned=planned,
+        )
+        self._history.calls.append(got)
+        return got
+
+    async def _open(self) -> http1.ClientConn:
+        if self._conn is None or self._conn.closing:
+            self._conn = await http1.connect(HOST, self._port, timeout_s=1.0)
+        return self._conn
