--- /dev/null
+++ b/bench/news.py
@@ -0,0 +1,121 @@
+# SPDX-License-Identifier: Apache-2.0
+"""Cost of the news that edge processes send each other, by their number.
+
+    python bench/news.py
+
+For fleets of several sizes in equal failure domains, under load: datagrams
+and bytes that one process takes in a second (by the spacings of
+``edge.peers``), and the processor time of taking and of sending them,
+measured on this machine.
+"""
+
+import datetime
+import random
+import time
+
+from lugcross import clock as clock_lib
+from lugcross.edge import knowledge as knowledge_lib
+from lugcross.edge import messages
+from lugcross.edge import settings as settings_lib
+from lugcross.edge import world as world_lib
+
+#: Processes and failure domains: the users' small, large and target fleets.
+SIZES = ((15, 5), (98, 5), (400, 12))
+#: Requests that one process has in progress, each at a server of its own.
+RUNNING = 5
+#: Spacing of datagrams nearby and to other domains, in seconds.
+NEAR_S, FAR_S = 0.05, 0.2
+#: Datagrams of each peer that are measured.
+ROUNDS = 20
+
+
+class _Nowhere:
+    """Takes the place of the socket and the store."""
+
+    def sendto(self, data: bytes, to: tuple[str, int]) -> None:
+        del data, to
+
+
+def _knowledge(rng: random.Random) -> knowledge_lib.Knowledge:
+    cfg = settings_lib.Settings(
+        node="n0",
+        domain="d0",
+        listen=settings_lib.Listen(
+            callers="h:0", ready="h:0", state="h:1", peers="h:0"
+        ),
+        store=settings_lib.Store(address="h:1", form="log"),
+        bounds=settings_lib.Bounds(
+            grace_s=8,
+            drain_ms=4000,
+            change_ms=4000,
+            repeat_ratio=0.2,
+            repeat_window_s=10,
+            repeat_slack=0,
+            contact_ms=5000,
+        ),
+    )
+    clock = clock_lib.ManualClock()
+    clock.advance(datetime.timedelta(seconds=60))
+    world = world_lib.World(cfg, clock=clock, rng=rng)
+    known = knowledge_lib.Knowledge(cfg, world, _Nowhere(), clock=clock)
+    known.peers.connection_made(_Nowhere())
+    return known
+
+
+def _beat(num: int, domains: int, turn: int, rng: random.Random) -> bytes:
+    return messages.encode(
+        messages.Beat(
+            node=f"front-d{num % domains}-{num}",
+            incarnation=f"{num:024x}",
+            domain=f"d{num % domains}",
+            state_port=8229,
+            leaving=False,
+            version=12,
+            end=500,
+            running={f"i-{rng.getrandbits(40):x}": 1 for _ in range(RUNNING)},
+            known=[],
+            since_ms=1_780_208_640_546,
+            reads=True,
+            number=turn,
+            uses={rng.getrandbits(32): 1 for _ in range(RUNNING)},
+            desired_ms=400,
+            backends_ms=400,
+        )
+    )
+
+
+def _measure(processes: int, domains: int) -> str:
+    rng = random.Random(1)
+    known = _knowledge(rng)
+    data = [
+        (num, _beat(num, domains, turn, rng))
+        for turn in range(1, ROUNDS + 1)
+        for num in range(1, processes)
+    ]
+    begun = time.perf_counter()
+    for num, one in data:
+        known.peers.datagram_received(one, (f"10.0.{num // 250}.{num}", 7))
+    take_us = (time.perf_counter() - begun) / len(data) * 1e6
+    begun = time.perf_counter()
+    for _ in range(ROUNDS):
+        known.peers.send_due()
+    send_us = (time.perf_counter() - begun) / ROUNDS * 1e6
+    near = processes // domains
+    taken = (near - 1) / NEAR_S + (processes - near) / FAR_S
+    size = sum(len(one) for _, one in data) / len(data)
+    share = taken * take_us / 1e6 + send_us / NEAR_S / 1e6
+    return (
+        f"{processes:4} {domains:3}  {taken:6.0f}/s  {size:4.0f} B"
+        f"  {taken * size / 1000:6.1f} KB/s  take {take_us:5.1f} us"
+        f"  send {send_us:6.1f} us  {share * 100:5.2f} % of a core"
+    )
+
+
+def main() -> None:
+    """Print the table."""
+    for processes, domains in SIZES:
+        print(_measure(processes, domains))
+
+
+if __name__ == "__main__":
+    main()
