Prove by a test that no read waits after one without an answer

Where others are answered all the while, a process that had lost the store would send a read that waits 20 s and tell its peers until then that it cannot reach the store. Change: a test of just that; it fails with the guard made never true.

--- a/testing/edge/test_silence.py
+++ b/testing/edge/test_silence.py
@@ -22,6 +22,9 @@
 import fleet_rig
 import virtual_time
 
+from lugcross.edge import app
+from lugcross.edge import waiting
+
 #: Until every process has read, registered and heard of the others, s.
 SETTLED_S = 20.0
 #: How long the store says nothing, in seconds.
@@ -84,3 +87,36 @@
         fleet.store.silence_connections()
 
     assert _late_by_phase(monkeypatch, silence) == {}
+
+
+def test_store_that_answers_again_is_noticed_though_nothing_is_new(
+    monkeypatch,
+):
+    """After a read without an answer none waits for news.
+
+    Where others are answered all the while, a process whose reads had failed
+    would otherwise send one that waits 20 s, and tell its peers until then
+    that it cannot reach the store; it would get no lease.
+    """
+    random.seed(1)
+
+    async def main() -> list[str]:
+        fleet = fleet_rig.Fleet(monkeypatch, *fleet_rig.DOMAINS)
+        fleet.change(1)
+        fleet.start()
+        await asyncio.sleep(SETTLED_S)
+        some = [n for n in fleet.nodes.values() if not n.knowledge.rests()][1:]
+        for node in some:
+            fleet.store.unreachable.add(node.way)
+            fleet.store.silence_connections(node.way)
+        # As long as a read of those that stand by may hang.
+        await asyncio.sleep(waiting.STANDBY.total_seconds() + 3.0)
+        assert all(node.knowledge.trouble.now for node in some)
+        fleet.store.unreachable.clear()
+        # One call that still hangs, the longest rest and the next call.
+        await asyncio.sleep(app.STORE_TIMEOUT.total_seconds() + 1.1)
+        late = [node.name for node in some if node.knowledge.trouble.now]
+        await fleet.stop()
+        return late
+
+    assert virtual_time.run(main()) == []
