--- a/bench/admission.py
+++ b/bench/admission.py
@@ -12,9 +12,10 @@
 import random
 import time
 
+import edge_cfg
+
 from lugcross import clock as clock_lib
 from lugcross import desired
-from lugcross.edge import settings as settings_lib
 from lugcross.edge import world as world_lib
 from lugcross import ids
 from lugcross import platform
@@ -28,27 +29,9 @@
 
 
 def _world(peers: int, servers: int, rng: random.Random) -> world_lib.World:
-    bounds = settings_lib.Bounds(
-        grace_s=8,
-        drain_ms=2000,
-        change_ms=2000,
-        repeat_ratio=0.2,
-        repeat_window_s=10,
-        repeat_slack=0,
-        contact_ms=3000,
-    )
-    cfg = settings_lib.Settings(
-        node="n0",
-        domain="d0",
-        listen=settings_lib.Listen(
-            callers="h:0", ready="h:0", state="h:0", peers="h:0"
-        ),
-        store=settings_lib.Store(address="h:1", form="log"),
-        bounds=bounds,
-    )
     clock = clock_lib.ManualClock()
     clock.advance(datetime.timedelta(seconds=60))
-    world = world_lib.World(cfg, clock=clock, rng=rng)
+    world = world_lib.World(edge_cfg.settings(), clock=clock, rng=rng)
     rows = tuple(
         platform.KeyedRecord(
             ids.Offset(num),
--- /dev/null
+++ b/bench/edge_cfg.py
@@ -0,0 +1,25 @@
+# SPDX-License-Identifier: Apache-2.0
+"""Settings of an edge process that listens nowhere, for measurements."""
+
+from lugcross.edge import settings as settings_lib
+
+
+def settings() -> settings_lib.Settings:
+    """Return settings with bounds like those of a large deployment."""
+    return settings_lib.Settings(
+        node="n0",
+        domain="d0",
+        listen=settings_lib.Listen(
+            callers="h:0", ready="h:0", state="h:1", peers="h:0"
+        ),
+        store=settings_lib.Store(address="h:1", form="log"),
+        bounds=settings_lib.Bounds(
+            grace_s=8,
+            drain_ms=4000,
+            change_ms=4000,
+            repeat_ratio=0.2,
+            repeat_window_s=10,
+            repeat_slack=0,
+            contact_ms=5000,
+        ),
+    )
--- a/bench/news.py
+++ b/bench/news.py
@@ -13,10 +13,11 @@
 import random
 import time
 
+import edge_cfg
+
 from lugcross import clock as clock_lib
 from lugcross.edge import knowledge as knowledge_lib
 from lugcross.edge import messages
-from lugcross.edge import settings as settings_lib
 from lugcross.edge import world as world_lib
 
 #: Processes and failure domains: the users' small, large and target fleets.
@@ -37,23 +38,7 @@
 
 
 def _knowledge(rng: random.Random) -> knowledge_lib.Knowledge:
-    cfg = settings_lib.Settings(
-        node="n0",
-        domain="d0",
-        listen=settings_lib.Listen(
-            callers="h:0", ready="h:0", state="h:1", peers="h:0"
-        ),
-        store=settings_lib.Store(address="h:1", form="log"),
-        bounds=settings_lib.Bounds(
-            grace_s=8,
-            drain_ms=4000,
-            change_ms=4000,
-            repeat_ratio=0.2,
-            repeat_window_s=10,
-            repeat_slack=0,
-            contact_ms=5000,
-        ),
-    )
+    cfg = edge_cfg.settings()
     clock = clock_lib.ManualClock()
     clock.advance(datetime.timedelta(seconds=60))
     world = world_lib.World(cfg, clock=clock, rng=rng)
