Drop news of peers whose counts or ages cannot be

Cause: a datagram's counts and ages were taken as any whole number: a negative count would have given a workspace places, and an age of 2**63 ms ended in an error in the middle of taking the news over. Change: counts are 0 to a million, ages -1 to a minute (older ones are told as none); what is not is one log line and changes nothing.

--- a/src/lugcross/edge/knowledge.py
+++ b/src/lugcross/edge/knowledge.py
@@ -238,9 +238,11 @@
         )
 
     def _answered_ms(self, topic: str) -> int:
-        """Return how long ago the store answered; less than 0 if never."""
+        """Return how long ago the store answered; -1 if too long ago."""
         age = self.answers.own_age(topic)
-        return -1 if age is None else round(age / _MS)
+        if age is None or age > messages.AGE_MOST_MS * _MS:
+            return -1
+        return int(age / _MS)
 
     def _heard(self, peer: peers_lib.Peer) -> None:
         beat = peer.beat
--- a/src/lugcross/edge/messages.py
+++ b/src/lugcross/edge/messages.py
@@ -1,11 +1,19 @@
 # SPDX-License-Identifier: Apache-2.0
 """What edge processes say to each other, and how it is written."""
 
+from typing import Annotated
 from typing import final
 
 import cbor2
 import msgspec
 
+#: Requests in progress: far more than one process could have.
+_Count = Annotated[int, msgspec.Meta(ge=0, le=1_000_000)]
+#: Longest age of an answer that is told, in milliseconds: past a minute it
+#: tells no more than none does.
+AGE_MOST_MS = 60_000
+_AgeMs = Annotated[int, msgspec.Meta(ge=-1, le=AGE_MOST_MS)]
+
 
 @final
 class Beat(msgspec.Struct, frozen=True, array_like=True):
@@ -28,7 +36,7 @@
     :param uses: its requests in progress by workspace and service, which
         stand as numbers (:mod:`lugcross.edge.uses`).
     :param desired_ms: how long ago the store answered it about the desired
-        state; less than 0 if it never has.
+        state; less than 0 if it has not for a minute.
     :param backends_ms: the same about the list of backend servers.
     """
 
@@ -39,7 +47,7 @@
     leaving: bool
     version: int
     end: int
-    running: dict[str, int]
+    running: dict[str, _Count]
     known: list[str]
     since_ms: int = 0
     broken: list[str] = []
@@ -47,9 +55,9 @@
     reads: bool = False
     pass_on: bool = False
     number: int = 0
-    uses: dict[int, int] = {}
-    desired_ms: int = -1
-    backends_ms: int = -1
+    uses: dict[int, _Count] = {}
+    desired_ms: _AgeMs = -1
+    backends_ms: _AgeMs = -1
 
 
 @final
--- a/testing/edge/test_knowledge.py
+++ b/testing/edge/test_knowledge.py
@@ -10,6 +10,7 @@
 import edge_rig
 import fleet_rig
 import msgspec
+import pytest
 
 from lugcross import clock as clock_lib
 from lugcross import desired
@@ -206,6 +207,31 @@
     assert peers.live() == []
 
 
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"uses": {1: -1}},
+        {"uses": {1: 10**12}},
+        {"desired_ms": 2**63},
+        {"backends_ms": -2},
+    ],
+    ids=str,
+)
+def test_datagram_with_figures_that_cannot_be_is_dropped(fields):
+    heard = []
+    peers = peers_lib.Peers(
+        lambda known: None,
+        heard.append,
+        own="own:9",
+        domain="d1",
+        clock=clock_lib.ManualClock(),
+    )
+    peers.datagram_received(_encoded(_beat("n2", "d1", **fields)), (HOST, 9))
+    assert heard == []
+    peers.datagram_received(_encoded(_beat("n2", "d1")), (HOST, 9))
+    assert len(heard) == 1
+
+
 def test_requests_of_a_silent_peer_count_no_more():
     clock = clock_lib.ManualClock()
     loads = loads_lib.Loads(clock)
