--- a/bench/edge_cfg.py
+++ b/bench/edge_cfg.py
@@ -1,8 +1,19 @@
 # SPDX-License-Identifier: Apache-2.0
 """Settings of an edge process that listens nowhere, for measurements."""
 
+import datetime
+
+from lugcross import desired
 from lugcross.edge import settings as settings_lib
 
+#: Bounds for callers, far off.
+LIMITS = desired.Limits(
+    head_bytes=4096,
+    body_bytes=4096,
+    head_time=datetime.timedelta(seconds=30),
+    idle_time=datetime.timedelta(seconds=30),
+)
+
 
 def settings() -> settings_lib.Settings:
     """Return settings with bounds like those of a large deployment."""
--- a/testing/support/share_fleet.py
+++ b/bench/share_fleet.py
@@ -13,7 +13,7 @@
 import itertools
 import random
 
-import edge_rig
+import edge_cfg
 
 from lugcross import clock as clock_lib
 from lugcross import desired
@@ -107,7 +107,7 @@
 
     def _world(self, num: int, servers: int) -> world_lib.World:
         world = world_lib.World(
-            edge_rig.settings(),
+            edge_cfg.settings(),
             clock=self.clock,
             rng=random.Random(f"{num}"),
         )
@@ -120,7 +120,7 @@
                 version=1,
                 routes={"h": (ROUTE,)},
                 services={SERVICE: desired.Service(name=SERVICE)},
-                limits=edge_rig.LIMITS,
+                limits=edge_cfg.LIMITS,
                 keys=spaces,
                 keyed=True,
             ),
@@ -131,7 +131,7 @@
                 ids.Offset(one),
                 f"i-{one}",
                 b'{"service":"s","address":"10.0.0.1:%d","zone":"d%d",'
-                b'"slots":%d}' % (1000 + one, one % 3 + 1, SLOTS),
+                b'"slots":%d}' % (1000 + one, one % 3, SLOTS),
             )
             for one in range(servers)
         )
--- a/testing/edge/test_shares.py
+++ b/testing/edge/test_shares.py
@@ -8,6 +8,7 @@
 from hypothesis import strategies as st
 import pytest
 import share_fleet
+import shares as bench_shares
 
 from lugcross import clock as clock_lib
 from lugcross import desired
@@ -21,13 +22,9 @@
 SERVICE = ids.ServiceName("s")
 A, B = ids.WorkspaceName("a"), ids.WorkspaceName("b")
 
-#: One workspace in ten has a third of the load; together they take about
-#: two thirds of what is full.
-RATES = {"w0": 8.0} | {f"w{num}": 1.9 for num in range(1, 10)}
-SURGE = share_fleet.Load(
-    rates=RATES, hot="w0", times=7.5, since=4.0, until=12.0
-)
-OTHERS = set(RATES) - {"w0"}
+SURGE = bench_shares.SURGE
+OTHERS = bench_shares.OTHERS
+RATES = bench_shares.RATES
 
 
 def _play(
