Say once how the soak restarts a process and how a fleet settles

Read over after the work: two faults of the soak ended and started a process in the same four steps, a value was made twice in its caller, and two tests of the store's calls began with the same four lines. Each stands once now; what is checked is unchanged. Only test files.

--- a/testing/edge/test_store_calls.py
+++ b/testing/edge/test_store_calls.py
@@ -29,15 +29,21 @@
         return self._call(*args)
 
 
+async def _settled_fleet(monkeypatch) -> fleet_rig.Fleet:
+    """Return a fleet whose processes have all heard of each other."""
+    fleet = fleet_rig.Fleet(monkeypatch, *DOMAINS)
+    fleet.change(1)
+    fleet.start()
+    await asyncio.sleep(SETTLED_S)
+    return fleet
+
+
 def _calls_at_rest(monkeypatch, *, changes: int = 0) -> int:
     """Return the calls of a fleet within a minute of few or no changes."""
     random.seed(1)
 
     async def main() -> int:
-        fleet = fleet_rig.Fleet(monkeypatch, *DOMAINS)
-        fleet.change(1)
-        fleet.start()
-        await asyncio.sleep(SETTLED_S)
+        fleet = await _settled_fleet(monkeypatch)
         counted = _Counted(fleet)
         for num in range(changes):
             fleet.change(2 + num)
@@ -69,10 +75,7 @@
     random.seed(1)
 
     async def main() -> None:
-        fleet = fleet_rig.Fleet(monkeypatch, *DOMAINS)
-        fleet.change(1)
-        fleet.start()
-        await asyncio.sleep(SETTLED_S)
+        fleet = await _settled_fleet(monkeypatch)
         first = min(
             fleet.nodes.values(), key=lambda node: node.knowledge.incarnation
         )
--- a/testing/soak/test_soak.py
+++ b/testing/soak/test_soak.py
@@ -147,19 +147,11 @@
 
 
 async def process_is_killed(day: _Day) -> None:
-    one = day.process()
-    one.signal(signal.SIGCONT)
-    one.signal(signal.SIGKILL)
-    await one.ended()
-    await one.start()
+    await day.process().start_again(signal.SIGKILL)
 
 
 async def stop_and_start(day: _Day) -> None:
-    one = day.process()
-    one.signal(signal.SIGTERM)
-    one.signal(signal.SIGCONT)
-    await one.ended()
-    await one.start()
+    await day.process().start_again(signal.SIGTERM)
 
 
 Fault = Callable[[_Day], Awaitable[None]]
--- a/testing/support/soak_fleet.py
+++ b/testing/support/soak_fleet.py
@@ -143,6 +143,14 @@
                 stderr=log,
             )
 
+    async def start_again(self, num: signal.Signals) -> None:
+        """End this life by a signal, and start a new one."""
+        self.signal(num)
+        # One that is paused does not heed a request to stop.
+        self.signal(signal.SIGCONT)
+        await self.ended()
+        await self.start()
+
     def signal(self, num: signal.Signals) -> None:
         assert self._proc is not None
         if self._proc.returncode is None:
@@ -295,7 +303,6 @@
         self, name: str, kind: soak_checks.Kind, *, planned: bool = False
     ) -> soak_checks.Call:
         """Send one request; keep and return what came of it."""
-        got = soak_checks.Call(name=name, kind=kind, planned=planned)
         parts: list[bytes] = []
         status, whole = 0, False
         try:
