Tell lives of a server apart by their start, and take no server from a bad entry

An id was taken for one life: connections, requests in progress, failures and ranks of the one before would have counted for the next.

Change: what is known of a life goes by its id and start; an earlier life never replaces a later one; an entry without a start belongs to the life known; what a report of another life tells is no answer. An entry must be whole and in range. Log lines of bad entries are cut at 200 signs.

Fixtures of servers are whole entries now.

--- a/src/lugcross/desired/__init__.py
+++ b/src/lugcross/desired/__init__.py
@@ -2,6 +2,7 @@
 """What the operators want and which backend servers there are."""
 
 from lugcross.desired.backends import Backend
+from lugcross.desired.backends import BackendId
 from lugcross.desired.backends import BackendKey
 from lugcross.desired.backends import BackendState
 from lugcross.desired.model import Desired
@@ -15,6 +16,7 @@
 
 __all__ = [
     "Backend",
+    "BackendId",
     "BackendKey",
     "BackendState",
     "Desired",
--- a/src/lugcross/desired/backends.py
+++ b/src/lugcross/desired/backends.py
@@ -3,12 +3,16 @@
 
 import dataclasses
 import enum
+import functools
 from typing import final
 from typing import NewType
 
 from lugcross import ids
 
-#: Drawn anew at each start of a backend server, never used again.
+#: Name of a backend server; it may keep it when it starts again.
+BackendId = NewType("BackendId", str)
+#: One life of a backend server. Whatever is known of a life (connections,
+#: requests in progress, failures, ranks) goes by this, and ends with it.
 BackendKey = NewType("BackendKey", str)
 
 
@@ -24,11 +28,14 @@
 class Backend:
     """One life of a backend server.
 
+    :param born: when this life began, in milliseconds since 1970; none where
+        its id is never used again.
     :param host: IP number.
     :param slots: requests that it works on at once.
     """
 
-    key: BackendKey
+    id: BackendId
+    born: int | None = None
     service: ids.ServiceName
     host: str
     port: int
@@ -36,6 +43,13 @@
     slots: int
     state: BackendState
 
+    @functools.cached_property
+    def key(self) -> BackendKey:
+        """What tells this life from all others; ids hold no blanks."""
+        if self.born is None:
+            return BackendKey(self.id)
+        return BackendKey(f"{self.id} {self.born}")
+
     @property
     def address(self) -> str:
         """Address as ``HOST:PORT``."""
--- a/src/lugcross/edge/attempt.py
+++ b/src/lugcross/edge/attempt.py
@@ -193,7 +193,7 @@
         left = plan.deadline - self._clock.monotonic() - _ON_THE_WAY
         headers = platform.request_headers(
             plan.req.raw,
-            backend=self._backend.key,
+            backend=self._backend.id,
             workspace=plan.space,
             time_left=left,
             body_bytes=None if plan.req.body is None else len(plan.req.body),
--- a/src/lugcross/edge/backends.py
+++ b/src/lugcross/edge/backends.py
@@ -21,6 +21,8 @@
 #: Part of the drain bound for which a leaving server may still be used
 #: where no other is left; the rest covers a request's own way.
 _DRAIN_PART = 0.5
+#: Characters of what another writer wrote that a log line shows.
+_SHOWN = 200
 #: How long a list with leaving servers is used before it is looked through
 #: anew: a small part of what is left of the drain bound.
 _LOOK_AGAIN = datetime.timedelta(milliseconds=50)
@@ -68,7 +70,10 @@
         self._clock = clock
         self._drain = drain
         self._known: dict[desired.BackendKey, _Known] = {}
-        self._removed: dict[str, ids.Offset] = {}
+        #: Newest life of each server, and the offset of its last entry
+        #: once that is forgotten.
+        self._lives: dict[desired.BackendId, desired.Backend] = {}
+        self._removed: dict[desired.BackendId, ids.Offset] = {}
         self._lists: dict[ids.ServiceName, _List] = {}
         self.end = ids.Offset(0)
         self.heard: clock_lib.Instant | None = None
@@ -81,9 +86,10 @@
         this answer: then the answer is an old one.
         """
         listed = {record.key for record in tail.records}
-        for key, known in list(self._known.items()):
-            if key not in listed and known.offset < tail.end:
-                gone = platform.KeyedRecord(tail.end, key, b"")
+        for known in list(self._known.values()):
+            name = known.backend.id
+            if name not in listed and known.offset < tail.end:
+                gone = platform.KeyedRecord(tail.end, name, b"")
                 self._take(gone, store_was_away)
         self.apply(tail, store_was_away=store_was_away)
 
@@ -160,7 +166,7 @@
         if known is None:
             return
         self._lists.pop(known.backend.service, None)
-        self._removed[key] = known.offset
+        self._removed[known.backend.id] = known.offset
         logging.info("backend server gone", extra={"backend": key, "why": why})
 
     def _held(self, known: _Known, now: clock_lib.Instant) -> bool:
@@ -169,25 +175,63 @@
         return now - known.leaving_at < self._drain() * _LAPSE_PART
 
     def _take(self, record: platform.KeyedRecord, away: bool) -> None:
-        key = desired.BackendKey(record.key)
-        known = self._known.get(key)
-        newest = known.offset if known else self._removed.get(key, -1)
+        name = desired.BackendId(record.key)
+        life = self._lives.get(name)
+        known = self._known.get(life.key) if life else None
+        newest = known.offset if known else self._removed.get(name, -1)
         if record.offset <= newest:
             return
         self.records[record.key] = record
         if not record.value:
-            self._remove(key, known, record.offset, away)
+            self._remove(name, known, record.offset, away)
             return
         try:
-            backend = platform.read_backend(record.key, record.value)
+            backend = self._life(record, life)
         except errors.ChangeError as exc:
+            # Whoever wrote it, it names no server, nor the one before.
             logging.warning(
-                "record kept out",
-                extra={"backend": key, "why": str(exc)},
+                "entry kept out",
+                extra={"backend": name[:_SHOWN], "why": exc.what[:_SHOWN]},
             )
+            self._remove(name, known, record.offset, False)
+            return
+        if backend is None:
+            self._pass_over(record, known)
             return
+        if life is not None and backend.key != life.key:
+            self.forget(life.key, "it has started again")
+            known = None
         self._note(backend, known, record.offset)
 
+    def _life(
+        self, record: platform.KeyedRecord, life: desired.Backend | None
+    ) -> desired.Backend | None:
+        """Return the life of a server that an entry tells of.
+
+        One that does not tell when its life began belongs to the one that
+        is known.
+
+        :param life: the newest one that is known.
+        :returns: none if the entry tells of an earlier one.
+        :raises errors.ChangeError: when it is no server's entry.
+        """
+        backend = platform.read_backend(record.key, record.value)
+        if life is None or life.born is None:
+            return backend
+        if backend.born is None:
+            return dataclasses.replace(backend, born=life.born)
+        return None if backend.born < life.born else backend
+
+    def _pass_over(
+        self, record: platform.KeyedRecord, known: _Known | None
+    ) -> None:
+        """Leave an entry of an earlier life alone; the later one stands."""
+        logging.info("entry of an earlier life", extra={"backend": record.key})
+        if known is not None:
+            known.offset = record.offset
+        else:
+            self._removed[desired.BackendId(record.key)] = record.offset
+
     def _note(
         self,
         backend: desired.Backend,
@@ -198,6 +242,9 @@
         since = known.leaving_at if known and not known.removed else None
         now = self._clock.monotonic()
         self._lists.pop(backend.service, None)
+        if known is not None:
+            self._lists.pop(known.backend.service, None)
+        self._lives[backend.id] = backend
         self._known[backend.key] = _Known(
             backend,
             offset,
@@ -217,13 +264,13 @@
 
     def _remove(
         self,
-        key: desired.BackendKey,
+        name: desired.BackendId,
         known: _Known | None,
         offset: ids.Offset,
         away: bool,
     ) -> None:
         if known is None:
-            self._removed[key] = offset
+            self._removed[name] = offset
             return
         known.offset = offset
         if known.removed:
@@ -235,7 +282,11 @@
             known.leaving_at = self._clock.monotonic()
         logging.info(
             "backend server removed",
-            extra={"backend": key, "offset": offset, "lapsed": known.lapsed},
+            extra={
+                "backend": known.backend.key,
+                "offset": offset,
+                "lapsed": known.lapsed,
+            },
         )
 
     def _forget(self) -> None:
--- a/src/lugcross/platform/answers.py
+++ b/src/lugcross/platform/answers.py
@@ -94,7 +94,7 @@
 def request_headers(
     headers: Sequence[tuple[bytes, bytes]],
     *,
-    backend: desired.BackendKey,
+    backend: desired.BackendId,
     workspace: ids.WorkspaceName | None,
     time_left: datetime.timedelta,
     body_bytes: int | None,
--- a/src/lugcross/platform/engines.py
+++ b/src/lugcross/platform/engines.py
@@ -28,7 +28,6 @@
 Exchange = Callable[
     [desired.Backend, str, str, bytes], Awaitable[tuple[int, bytes]]
 ]
-_T = TypeVar("_T")
 
 
 class _Group(msgspec.Struct):
@@ -55,6 +54,7 @@
     armed: _Armed | None = None
     held: int | None = None
     group: _Group | None = None
+    born: int | None = None
 
 
 class _Counts(msgspec.Struct):
@@ -63,6 +63,7 @@
     step: int
     epoch: int
     counts: list[int]
+    born: int | None = None
 
 
 class _Held(msgspec.Struct):
@@ -73,6 +74,10 @@
 class _Lists(msgspec.Struct):
     epoch: int
     map: _Held
+    born: int | None = None
+
+
+_T = TypeVar("_T", _Report, _Counts, _Lists)
 
 
 class EngineError(errors.PlatformError):
@@ -194,9 +199,14 @@
         if status != http.HTTPStatus.OK:
             raise _no_answer(backend, f"status {status}")
         try:
-            return msgspec.json.decode(body, type=kind)
-        except msgspec.DecodeError as exc:
+            told = msgspec.json.decode(body, type=kind)
+        except (msgspec.DecodeError, RecursionError) as exc:
             raise _no_answer(backend, str(exc)) from exc
+        if None not in (told.born, backend.born) and (
+            told.born != backend.born
+        ):
+            raise _no_answer(backend, "another life of it answers")
+        return told
 
 
 @functools.singledispatch
--- a/src/lugcross/platform/state.py
+++ b/src/lugcross/platform/state.py
@@ -6,6 +6,8 @@
 """
 
 import datetime
+import ipaddress
+from typing import Annotated
 
 import msgspec
 
@@ -30,7 +32,24 @@
     "unsafe": desired.Kind.UNSAFE,
     "streaming": desired.Kind.STREAM,
 }
-_DRAINING = "draining"
+_STATES = {
+    "ready": desired.BackendState.READY,
+    "draining": desired.BackendState.LEAVING,
+}
+#: Latest start of a server that is believed, in milliseconds since 1970:
+#: far past any clock, and short enough for an id.
+_BORN_MOST = 10**15
+#: Largest port of TCP.
+_PORT_MOST = 65_535
+#: What decoding raises on bytes of another writer: other types, unknown
+#: names, figures past what a time can hold, or nesting without an end.
+_UNREADABLE = (
+    msgspec.DecodeError,
+    KeyError,
+    OverflowError,
+    RecursionError,
+    ValueError,
+)
 #: Bits of a byte: weights are told in megabytes, links in megabits.
 _BITS = 8.0
 
@@ -102,12 +121,27 @@
     tenants: list[_Workspace] | None = None
 
 
+_Count = Annotated[int, msgspec.Meta(ge=0)]
+_Name = Annotated[str, msgspec.Meta(min_length=1)]
+_Slots = Annotated[int, msgspec.Meta(ge=1, le=1_000_000)]
+
+
 class _Backend(msgspec.Struct):
-    service: str
+    """Entry of a server, whole: one that lacks a field is not a server's.
+
+    ``version`` is that of its software, ``cold_ms`` how much longer it is
+    slow from its start; ``sequence`` counts its heartbeats.
+    """
+
+    service: _Name
     address: str
-    zone: str = ""
-    slots: int = 1
-    state: str = "ready"
+    zone: _Name
+    version: str
+    slots: _Slots
+    state: str
+    cold_ms: Annotated[float, msgspec.Meta(ge=0)]
+    sequence: _Count
+    born: Annotated[int, msgspec.Meta(ge=0, le=_BORN_MOST)] | None = None
 
 
 def read_desired(data: bytes) -> desired.Desired:
@@ -118,7 +152,7 @@
     try:
         raw = msgspec.json.decode(data, type=_Desired)
         return _desired(raw)
-    except (msgspec.DecodeError, KeyError) as exc:
+    except _UNREADABLE as exc:
         raise errors.ChangeError(
             f"not a desired state ({exc})",
             remedy="the one in force stands; publish a valid one",
@@ -133,26 +167,38 @@
     try:
         raw = msgspec.json.decode(data, type=_Backend)
         host, port = address.split(raw.address)
+        _check_address(host, port)
         return desired.Backend(
-            key=desired.BackendKey(key),
+            id=_id(key),
+            born=raw.born,
             service=ids.ServiceName(raw.service),
             host=host,
             port=port,
             domain=ids.DomainName(raw.zone),
-            slots=max(1, raw.slots),
-            state=(
-                desired.BackendState.LEAVING
-                if raw.state == _DRAINING
-                else desired.BackendState.READY
-            ),
+            slots=raw.slots,
+            state=_STATES[raw.state],
         )
-    except (msgspec.DecodeError, ValueError) as exc:
+    except _UNREADABLE as exc:
         raise errors.ChangeError(
             f"not a backend server ({exc})",
-            remedy="what was known of it stands",
+            remedy="nothing is sent there until its entry is a server's",
         ) from exc
 
 
+def _id(key: str) -> desired.BackendId:
+    """Return the id in the key of an entry; it goes into a header."""
+    if not key.isprintable() or not key.isascii() or " " in key or not key:
+        raise ValueError(f"no id: {key[:40]!r}")
+    return desired.BackendId(key)
+
+
+def _check_address(host: str, port: int) -> None:
+    """Refuse what no connection can be made to."""
+    ipaddress.ip_address(host)
+    if not 0 < port <= _PORT_MOST:
+        raise ValueError(f"no port: {port}")
+
+
 def _desired(raw: _Desired) -> desired.Desired:
     by_host: dict[str, list[desired.Route]] = {}
     for one in raw.routes:
--- a/src/lugcross/platform/store.py
+++ b/src/lugcross/platform/store.py
@@ -23,6 +23,8 @@
 
 _WORD = struct.Struct(">I")
 _BOUNDS = struct.Struct(">QQ")
+#: Stands for a value that cannot be read; none would remove its key.
+_NO_VALUE = b"\xff"
 
 
 @final
@@ -244,7 +246,10 @@
 
 
 def _keyed(item: _Item) -> KeyedRecord:
-    value = base64.b64decode(item.value)
+    try:
+        value = base64.b64decode(item.value, validate=True)
+    except ValueError:
+        value = _NO_VALUE
     return KeyedRecord(ids.Offset(item.offset), item.private_key, value)
 
 
@@ -270,15 +275,25 @@
             at += _WORD.size
             record = body[at : at + size]
             at += size
-            key_end = 1 + record[0]
-            key = record[1:key_end].decode()
-            records.append(KeyedRecord(offset, key, record[key_end:]))
+            records.append(_record(offset, record))
             offset = ids.Offset(offset + 1)
-    except (struct.error, IndexError, UnicodeDecodeError) as exc:
+    except struct.error as exc:
         raise _unavailable(f"bad records: {exc}") from exc
     return Tail(end=ids.Offset(end), records=tuple(records))
 
 
+def _record(offset: ids.Offset, record: bytes) -> KeyedRecord:
+    """Return one record; one that cannot be read must not hide the others.
+
+    Its key is of no server then, or its value none that a server writes.
+    """
+    key_end = 1 + record[0] if record else 1
+    if key_end > len(record):
+        return KeyedRecord(offset, "", _NO_VALUE)
+    key = record[1:key_end].decode("utf-8", "replace")
+    return KeyedRecord(offset, key, record[key_end:])
+
+
 def _unavailable(why: str) -> errors.LogUnavailableError:
     return errors.LogUnavailableError(
         f"the platform's log cannot be used ({why})",
--- a/testing/support/edge_rig.py
+++ b/testing/support/edge_rig.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 import dataclasses
 import datetime
+import json
 import random
 import socket
 
@@ -53,10 +54,33 @@
     )
 
 
+def entry(
+    service: str, address: str, domain: str = "d", /, **changes: object
+) -> bytes:
+    """Return a server's whole entry, as the list has it.
+
+    :param changes: fields that differ; none leaves a field out.
+    """
+    fields: dict[str, object] = {
+        "service": service,
+        "address": address,
+        "zone": domain,
+        "version": "v1",
+        "slots": 6,
+        "state": "ready",
+        "cold_ms": 0,
+        "sequence": 1,
+    }
+    whole = fields | changes
+    return json.dumps(
+        {name: one for name, one in whole.items() if one is not None}
+    ).encode()
+
+
 def backend(name: str = "i-1", domain: str = "d1") -> desired.Backend:
     """Return a backend server that nobody starts."""
     return desired.Backend(
-        key=desired.BackendKey(name),
+        id=desired.BackendId(name),
         service=ids.ServiceName("s"),
         host=HOST,
         port=1,
@@ -252,15 +276,11 @@
             await backend.start()
             self.backends.append(backend)
             # The slots make the first one the least busy by far.
-            value = (
-                '{"service":"app","address":"%s:%d","zone":"d1",'
-                '"slots":%d,"state":"ready"}'
-                % (HOST, backend.port, 100 - 10 * num)
+            value = entry(
+                "app", f"{HOST}:{backend.port}", "d1", slots=100 - 10 * num
             )
             rows.append(
-                platform.KeyedRecord(
-                    ids.Offset(num), f"i-{num}", value.encode()
-                )
+                platform.KeyedRecord(ids.Offset(num), f"i-{num}", value)
             )
         tail = platform.Tail(end=ids.Offset(len(rows)), records=tuple(rows))
         self.world.backends.apply(tail, store_was_away=False)
--- a/testing/support/soak_fleet.py
+++ b/testing/support/soak_fleet.py
@@ -209,7 +209,11 @@
                 "service": "app",
                 "address": f"{HOST}:{way.port}",
                 "zone": f"d{num % 3}",
+                "version": "v1",
                 "slots": 8,
+                "state": "ready",
+                "cold_ms": 0,
+                "sequence": 1,
             }
             self.store.append(
                 platform.BACKENDS_TOPIC, f"i-{num}", json.dumps(row).encode()
