--- /dev/null
+++ b/src/lugcross/edge/slowness.py
@@ -0,0 +1,78 @@
+# SPDX-License-Identifier: Apache-2.0
+"""Which ranks of a group are slow, and when all are asked for it.
+
+All ranks of a group make each pass together: one that is four times slower
+makes all passes as slow as its own part of them is. Ranks tell in their
+reports how slow they are, so that nothing need be guessed from pauses; but a
+question to each rank of a large group is priced, so that they are asked where
+passes have become longer, and now and then.
+"""
+
+from collections.abc import Mapping
+import datetime
+from typing import final
+
+from lugcross import clock as clock_lib
+from lugcross.experts import Rank
+
+#: Times the usual from which on a rank counts as slow: below it, moving
+#: experts away costs more than the rank.
+_SLOW = 1.25
+#: Part by which a belief must change for maps to be planned anew.
+_CHANGED = 0.25
+#: Time between two rounds of questions where no rank is known to be slow: a
+#: rank that turns slow makes passes jump, which is seen at once; this finds
+#: what did not.
+_USUAL_GAP = datetime.timedelta(seconds=4)
+#: The same while one is: it should get its part back soon after.
+_SLOW_GAP = datetime.timedelta(seconds=1)
+
+
+@final
+class Slowness:
+    """How slow the ranks of one group are, as they told last."""
+
+    def __init__(self) -> None:
+        self._due = datetime.timedelta()
+        self._slow: dict[Rank, float] = {}
+
+    def jumped(
+        self, now: clock_lib.Instant, report_lag: datetime.timedelta
+    ) -> None:
+        """Note that passes have become longer.
+
+        :param report_lag: age of what ranks tell: before it is over, they
+            tell how they were before.
+        """
+        self._due = now + report_lag
+
+    def is_due(self, now: clock_lib.Instant) -> bool:
+        """Tell whether all ranks should be asked now."""
+        return now >= self._due
+
+    def told(
+        self, slowness: Mapping[Rank, float], now: clock_lib.Instant
+    ) -> bool:
+        """Take over what ranks tell; tell whether it changes anything.
+
+        One that does not answer keeps what is believed of it.
+        """
+        before = dict(self._slow)
+        for rank, times in slowness.items():
+            if times < _SLOW:
+                self._slow.pop(rank, None)
+            else:
+                self._slow[rank] = times
+        self._due = now + (_SLOW_GAP if self._slow else _USUAL_GAP)
+        ranks = before.keys() | self._slow.keys()
+        return any(
+            abs(self._slow.get(rank, 1.0) / before.get(rank, 1.0) - 1.0)
+            >= _CHANGED
+            for rank in ranks
+        )
+
+    def of(self, size: int) -> tuple[float, ...]:
+        """Return how slow each rank is; nothing where all are as usual."""
+        if not self._slow:
+            return ()
+        return tuple(self._slow.get(Rank(rank), 1.0) for rank in range(size))
--- /dev/null
+++ b/src/lugcross/experts/placing.py
@@ -0,0 +1,238 @@
+# SPDX-License-Identifier: Apache-2.0
+"""Placement of one set's experts while it is being improved."""
+
+from collections.abc import Iterator
+from collections.abc import Sequence
+import dataclasses
+import heapq
+from typing import final
+
+from lugcross.experts import model
+
+#: Least by which a step must lighten the most loaded rank for each copy, in
+#: mean rank loads: below it lies the noise of one reading.
+_LEAST_GAIN = 0.04
+#: Experts of the most loaded rank that are tried, heaviest first: what is
+#: lighter than these cannot be why it is the slowest.
+_TRIED = 2
+#: Ranks that are tried to take something over, least loaded first: what is
+#: more loaded than these is no better place, and 256 ranks take too long.
+_RANKS_TRIED = 5
+#: Steps of one set, at most, for each of its ranks: a set that takes more
+#: changes the same ranks in circles.
+_STEPS_A_RANK = 3
+
+
+@final
+@dataclasses.dataclass(frozen=True)
+class Step:
+    """One expert of the most loaded rank gets another place.
+
+    :param gain: by how much less the ranks that it touches are loaded at
+        most, in mean rank loads, for each copy.
+    :param keep: whether ``source`` keeps the expert as well.
+    :param back: expert that ``source`` takes over from ``rank`` for it.
+    :param evicted: replica that ``rank`` gives up to make room.
+    """
+
+    gain: float
+    expert: int
+    source: int
+    rank: int
+    keep: bool
+    back: int | None = None
+    evicted: int | None = None
+
+
+@final
+class Placing:
+    """Which ranks hold which experts of a set, and how loaded they are.
+
+    :param ranks: experts that each rank holds, by rank.
+    :param budget: copies left to each rank; shared by all sets.
+    :param slow: how many times longer than usual each rank takes.
+    """
+
+    def __init__(
+        self,
+        weights: Sequence[float],
+        ranks: Sequence[Sequence[int]],
+        limits: model.Limits,
+        budget: list[int],
+        slow: Sequence[float],
+    ) -> None:
+        whole = sum(weights) or 1.0
+        self._weights = [one * len(ranks) / whole for one in weights]
+        self._limits = limits
+        self._budget = budget
+        self._slow = slow
+        self.ranks = [set(rank) for rank in ranks]
+        self._before = [frozenset(rank) for rank in ranks]
+        self._holders: list[set[int]] = [set() for _ in weights]
+        for rank, held in enumerate(self.ranks):
+            for expert in held:
+                self._holders[expert].add(rank)
+        #: Part of each expert that one of its holders does.
+        self._shares = [
+            weight / max(1, len(held))
+            for weight, held in zip(self._weights, self._holders, strict=True)
+        ]
+        self._new = [0] * len(ranks)
+        self._loads = [
+            sum(self._shares[one] for one in held) * slow[rank]
+            for rank, held in enumerate(self.ranks)
+        ]
+        self._left = _STEPS_A_RANK * len(ranks)
+
+    @property
+    def highest(self) -> float:
+        """Load of the most loaded rank, in mean rank loads."""
+        return max(self._loads)
+
+    def best(self) -> Step | None:
+        """Return the step that lightens the most loaded rank most."""
+        if self._left <= 0:
+            return None
+        source = self._loads.index(max(self._loads))
+        heavy = heapq.nlargest(
+            _TRIED, self.ranks[source], key=self._shares.__getitem__
+        )
+        takers = self._takers(source)
+        found: Step | None = None
+        for expert in heavy:
+            holders = self._holders[expert]
+            for rank in takers:
+                if rank in holders:
+                    continue
+                for step in self._ways(expert, source, rank):
+                    if found is None or step.gain > found.gain:
+                        found = step
+        if found is None or found.gain < _LEAST_GAIN:
+            return None
+        return found
+
+    def _takers(self, source: int) -> list[int]:
+        """Return the least loaded ranks that may copy."""
+        free = [
+            (load, rank)
+            for rank, load in enumerate(self._loads)
+            if rank != source and self._may_copy(rank)
+        ]
+        return [rank for _, rank in heapq.nsmallest(_RANKS_TRIED, free)]
+
+    def apply(self, step: Step) -> None:
+        """Carry out a step."""
+        self._left -= 1
+        if step.evicted is not None:
+            self._drop(step.evicted, step.rank)
+        if step.back is not None:
+            self._drop(step.back, step.rank)
+            self._add(step.back, step.source)
+        self._add(step.expert, step.rank)
+        if not step.keep:
+            self._drop(step.expert, step.source)
+
+    def _ways(self, expert: int, source: int, rank: int) -> Iterator[Step]:
+        """Yield what ``rank`` could do for ``source``."""
+        high = self._loads[source]
+        share = self._shares[expert]
+        slow, slow_there = self._slow[source], self._slow[rank]
+        evicted, freed, peak = self._make_room(rank, expert)
+        if evicted is None and self._is_full(rank):
+            yield from self._swaps(expert, source, rank)
+            return
+        there = self._loads[rank] - freed * slow_there
+        count = len(self._holders[expert])
+        less = share - share * count / (count + 1)
+        replica = max(
+            high - less * slow, there + (share - less) * slow_there, peak
+        )
+        yield Step(high - replica, expert, source, rank, True, None, evicted)
+        moved = max(high - share * slow, there + share * slow_there, peak)
+        yield Step(high - moved, expert, source, rank, False, None, evicted)
+
+    def _swaps(self, expert: int, source: int, rank: int) -> Iterator[Step]:
+        """Yield changes of places with an expert of a full rank."""
+        if not self._may_copy(source):
+            return
+        high, there = self._loads[source], self._loads[rank]
+        share = self._shares[expert]
+        for other in self.ranks[rank]:
+            less = share - self._shares[other]
+            if less <= 0 or source in self._holders[other]:
+                continue
+            after = max(
+                high - less * self._slow[source],
+                there + less * self._slow[rank],
+            )
+            yield Step((high - after) / 2, expert, source, rank, False, other)
+
+    def _add(self, expert: int, rank: int) -> None:
+        """Give an expert to a rank; the other holders do less of it."""
+        self._change(expert, -1.0)
+        self._holders[expert].add(rank)
+        self.ranks[rank].add(expert)
+        self._count_copy(expert, rank, 1)
+        self._change(expert, 1.0)
+
+    def _drop(self, expert: int, rank: int) -> None:
+        """Take an expert from a rank; the other holders do its part."""
+        self._change(expert, -1.0)
+        self._holders[expert].discard(rank)
+        self.ranks[rank].discard(expert)
+        self._count_copy(expert, rank, -1)
+        self._change(expert, 1.0)
+
+    def _count_copy(self, expert: int, rank: int, more: int) -> None:
+        """Count an expert that is new to a rank, or is so no more."""
+        if expert not in self._before[rank]:
+            self._new[rank] += more
+            self._budget[rank] -= more
+
+    def _change(self, expert: int, sign: float) -> None:
+        """Add the parts of an expert to its holders, or take them away."""
+        count = max(1, len(self._holders[expert]))
+        self._shares[expert] = self._weights[expert] / count
+        share = self._shares[expert] * sign
+        for rank in self._holders[expert]:
+            self._loads[rank] += share * self._slow[rank]
+
+    def _may_copy(self, rank: int) -> bool:
+        return self._budget[rank] > 0 and self._new[rank] < self._limits.spare
+
+    def _is_full(self, rank: int) -> bool:
+        return len(self.ranks[rank]) >= self._limits.places
+
+    def _make_room(
+        self, rank: int, expert: int
+    ) -> tuple[int | None, float, float]:
+        """Return what a full rank would give up for ``expert``.
+
+        :returns: that expert, the load it frees, and the highest load of
+            the ranks that take its part over; none while there is room.
+        """
+        if not self._is_full(rank):
+            return None, 0.0, 0.0
+        spares = [
+            one
+            for one in self.ranks[rank]
+            if len(self._holders[one]) > 1
+            and one != expert
+            and one in self._before[rank]
+        ]
+        if not spares:
+            return None, 0.0, 0.0
+        lightest = min(spares, key=self._added_by_leaving)
+        added = self._added_by_leaving(lightest)
+        peak = max(
+            self._loads[other] + added * self._slow[other]
+            for other in self._holders[lightest]
+            if other != rank
+        )
+        return lightest, self._shares[lightest], peak
+
+    def _added_by_leaving(self, expert: int) -> float:
+        """Return what each other holder gets more if one gives it up."""
+        count = len(self._holders[expert])
+        weight = self._weights[expert]
+        return weight / (count - 1) - weight / count
--- a/testing/support/fleet_rig.py
+++ b/testing/support/fleet_rig.py
@@ -201,6 +201,16 @@
         self.cut.discard(name)
         self.store.unreachable.discard(self.nodes[name].way)
 
+    def choke(self, name: str, seconds: float) -> None:
+        """Let others have all of a process's link for some time."""
+        now = asyncio.get_running_loop().time()
+        self._link_until[name] = now + seconds
+
+    def turn_away(self, name: str) -> None:
+        """Keep the store from a process that reaches all others."""
+        self.store.unreachable.add(self.nodes[name].way)
+        self.store.silence_connections(self.nodes[name].way)
+
     def behind(self, version: int) -> list[str]:
         """Return the processes where ``version`` is not in force."""
         return [
