Send nothing new to a rank that holds its group back

A rank's own part of a pass grows with what it reads and writes, and the whole group waits for it. Whoever looks after maps tells its peers which ranks are slow, as it tells of broken groups; where at most a fifth of a service's servers are slow, new requests go to the others.

--- a/src/lugcross/edge/app.py
+++ b/src/lugcross/edge/app.py
@@ -117,6 +117,7 @@
         self.knowledge.heard_generation = self._duty.heard
         self.knowledge.can_claim = self._duty.can_claim
         self.knowledge.seen_broken = self._maps.seen_broken
+        self.knowledge.seen_slow = self._maps.seen_slow
         self._conns: set[http1.ServerConn] = set()
         self._leaving_since: clock_lib.Instant | None = None
         self._stop = asyncio.Event()
--- a/src/lugcross/edge/groups.py
+++ b/src/lugcross/edge/groups.py
@@ -201,6 +201,15 @@
             for backend in group.members.values()
         ]
 
+    def slow(self) -> list[desired.BackendKey]:
+        """Return the backend servers that hold their groups back."""
+        return [
+            group.members[rank].key
+            for group in self._groups.values()
+            for rank in group.slowness.ranks()
+            if rank in group.members
+        ]
+
     def of_backend(self, key: desired.BackendKey) -> Group | None:
         """Return the group that a backend server is a rank of, if known."""
         return self._placed.get(key)
--- a/src/lugcross/edge/knowledge.py
+++ b/src/lugcross/edge/knowledge.py
@@ -76,6 +76,8 @@
         )
         #: Backend servers that this process has seen in broken groups.
         self.seen_broken: Callable[[], list[desired.BackendKey]] = list
+        #: Backend servers that this process knows to hold their groups back.
+        self.seen_slow: Callable[[], list[desired.BackendKey]] = list
         self.trouble = follow.Trouble(clock)
         self.answers = answers_lib.Answers(clock)
         self._lags = {
@@ -242,6 +244,7 @@
             uses=self._world.uses.own(),
             desired_ms=self._answered_ms(platform.OPERATOR_TOPIC),
             backends_ms=self._answered_ms(platform.BACKENDS_TOPIC),
+            slow=[str(key) for key in self.seen_slow()],
         )
 
     def _answered_ms(self, topic: str) -> int:
@@ -264,6 +267,8 @@
         self._world.uses.peer_told(beat.node, beat.uses)
         broken = [desired.BackendKey(key) for key in beat.broken]
         self._world.outages.told(beat.node, broken)
+        slow = [desired.BackendKey(key) for key in beat.slow]
+        self._world.slow.told(beat.node, slow)
         self.heard_generation(experts.Generation(beat.generation))
         self._lags[platform.OPERATOR_TOPIC].heard(beat.version)
         self._lags[platform.BACKENDS_TOPIC].heard(beat.end)
--- a/src/lugcross/edge/maps.py
+++ b/src/lugcross/edge/maps.py
@@ -106,6 +106,10 @@
         """Return the servers whose groups this process saw broken."""
         return self._groups.broken() if self._had else []
 
+    def seen_slow(self) -> list[desired.BackendKey]:
+        """Return the servers that hold their groups back, as they told."""
+        return self._groups.slow() if self._had else []
+
     async def run(self) -> None:
         """Look after the maps until cancelled."""
         while True:
@@ -131,6 +135,7 @@
         if self._had:
             await self._look_at_all()
         self._world.outages.told(self._node, self.seen_broken())
+        self._world.slow.told(self._node, self.seen_slow())
 
     async def _look_at_all(self) -> None:
         state = self._world.desired
--- a/src/lugcross/edge/messages.py
+++ b/src/lugcross/edge/messages.py
@@ -40,6 +40,7 @@
     :param desired_ms: how long ago the store answered it about the desired
         state; less than 0 if it has not for a minute.
     :param backends_ms: the same about the list of backend servers.
+    :param slow: backend servers that hold their groups back.
     """
 
     node: str
@@ -60,6 +61,7 @@
     uses: dict[int, _Count] = {}
     desired_ms: _AgeMs = -1
     backends_ms: _AgeMs = -1
+    slow: list[str] = []
 
 
 @final
--- a/src/lugcross/edge/outages.py
+++ b/src/lugcross/edge/outages.py
@@ -1,9 +1,9 @@
 # SPDX-License-Identifier: Apache-2.0
-"""Which backend servers cannot serve because their group of ranks is broken.
+"""Backend servers that should get nothing for now, as processes tell.
 
-A group that lost a rank refuses at all the others until it forms anew.
-Whoever looks after expert maps sees it first and tells the others, so that
-nobody spends attempts on servers that are bound to refuse.
+A group that lost a rank refuses at all the others until it forms anew, and a
+slow rank holds its group back. Whoever looks after expert maps sees it first
+and tells the others, so that nobody spends attempts there.
 """
 
 from collections.abc import Collection
@@ -20,19 +20,19 @@
 
 @final
 class Outages:
-    """What this process and its peers tell of broken groups."""
+    """What this process and its peers tell of some servers."""
 
     def __init__(self, clock: clock_lib.Clock) -> None:
         self._clock = clock
         self._told: dict[
             str, tuple[frozenset[desired.BackendKey], clock_lib.Instant]
         ] = {}
-        self._broken: frozenset[desired.BackendKey] = frozenset()
+        self._servers: frozenset[desired.BackendKey] = frozenset()
         #: Until when what was put together last holds.
         self._until = datetime.timedelta()
 
     def told(self, teller: str, keys: Collection[desired.BackendKey]) -> None:
-        """Take over which servers ``teller`` has seen in broken groups."""
+        """Take over which servers ``teller`` has seen so."""
         now = self._clock.monotonic()
         before, _ = self._told.get(teller, (frozenset(), now))
         if not keys:
@@ -42,15 +42,15 @@
         if before != frozenset(keys):
             self._until = now
 
-    def broken(self) -> frozenset[desired.BackendKey]:
-        """Return the servers that are bound to refuse now.
+    def servers(self) -> frozenset[desired.BackendKey]:
+        """Return the servers that anyone tells of.
 
         The same object is returned as long as nothing has changed.
         """
         now = self._clock.monotonic()
         if now >= self._until:
             self._put_together(now)
-        return self._broken
+        return self._servers
 
     def _put_together(self, now: clock_lib.Instant) -> None:
         for teller, (_, at) in list(self._told.items()):
@@ -59,7 +59,7 @@
         found: frozenset[desired.BackendKey] = frozenset().union(
             *(keys for keys, _ in self._told.values())
         )
-        if found != self._broken:
-            self._broken = found
+        if found != self._servers:
+            self._servers = found
         ends = [at + _STALE for _, at in self._told.values()]
         self._until = min(ends, default=datetime.timedelta.max)
--- a/src/lugcross/edge/serving.py
+++ b/src/lugcross/edge/serving.py
@@ -1,6 +1,7 @@
 # SPDX-License-Identifier: Apache-2.0
 """The backend servers that new requests of a service may go to."""
 
+from collections.abc import Collection
 from collections.abc import Sequence
 import dataclasses
 import random
@@ -9,6 +10,9 @@
 from lugcross import desired
 from lugcross import ids
 
+#: Part of a service's servers that may be left alone because they are slow:
+#: past it the others would be fuller by more than the slow ones cost.
+_SLOW_MOST = 0.2
 #: Servers of this failure domain, and of all others, that one choice looks
 #: at. The least busy of sixteen is idle or nearly so wherever one in eight
 #: is (for 88 in 100 choices), and processes whose news of each other are
@@ -54,6 +58,22 @@
     )
 
 
+def without(
+    servers: Sequence[desired.Backend],
+    slow: Collection[desired.BackendKey],
+) -> list[desired.Backend]:
+    """Return the servers that new requests go to while some are slow.
+
+    A rank's own part of a pass grows with what it is given to read and write,
+    and the whole group waits for it. Where many are slow, or all that are
+    left, they are needed all the same.
+    """
+    left = [one for one in servers if one.key not in slow]
+    if len(servers) - len(left) > len(servers) * _SLOW_MOST:
+        return list(servers)
+    return left
+
+
 def _some(
     servers: tuple[desired.Backend, ...], rng: random.Random
 ) -> Sequence[desired.Backend]:
--- a/src/lugcross/edge/slowness.py
+++ b/src/lugcross/edge/slowness.py
@@ -71,6 +71,10 @@
             for rank in ranks
         )
 
+    def ranks(self) -> list[Rank]:
+        """Return the ranks that are slow."""
+        return sorted(self._slow)
+
     def of(self, size: int) -> tuple[float, ...]:
         """Return how slow each rank is; nothing where all are as usual."""
         if not self._slow:
--- a/src/lugcross/edge/world.py
+++ b/src/lugcross/edge/world.py
@@ -40,8 +40,19 @@
 
     listed: tuple[desired.Backend, ...]
     broken: frozenset[desired.BackendKey]
+    slow: frozenset[desired.BackendKey]
     serving: serving_lib.Serving
 
+    def is_of(
+        self,
+        listed: tuple[desired.Backend, ...],
+        broken: frozenset[desired.BackendKey],
+        slow: frozenset[desired.BackendKey],
+    ) -> bool:
+        """Tell whether nothing of this has changed."""
+        same = self.listed is listed and self.broken is broken
+        return same and self.slow is slow
+
 
 @final
 class World:
@@ -79,6 +90,7 @@
         self.uses = uses_lib.Uses(clock)
         self.uses.weights = settings.shares.weights
         self.outages = outages_lib.Outages(clock)
+        self.slow = outages_lib.Outages(clock)
         self.pool = pool_lib.Pool(clock)
         self.figures = figures_lib.Figures()
         self._serving: dict[ids.ServiceName, _Cached] = {}
@@ -128,13 +140,15 @@
     def serving(self, service: ids.ServiceName) -> serving_lib.Serving:
         """Return the servers of ``service`` that new requests may go to."""
         listed = self.backends.of(service)
-        broken = self.outages.broken()
+        broken = self.outages.servers()
+        slow = self.slow.servers()
         held = self._serving.get(service)
-        if held and held.listed is listed and held.broken is broken:
+        if held and held.is_of(listed, broken, slow):
             return held.serving
         usable = [one for one in listed if one.key not in broken]
+        usable = serving_lib.without(usable, slow)
         found = serving_lib.of(usable, home=self._home)
-        self._serving[service] = _Cached(listed, broken, found)
+        self._serving[service] = _Cached(listed, broken, slow, found)
         return found
 
     def picture(
--- a/testing/edge/test_decisions.py
+++ b/testing/edge/test_decisions.py
@@ -224,9 +224,9 @@
     told = outages.Outages(manual_clock)
     key = desired.BackendKey("a")
     told.told("n1", [key])
-    assert told.broken() == {key}
+    assert told.servers() == {key}
     manual_clock.advance(datetime.timedelta(seconds=3))
-    assert not told.broken()
+    assert not told.servers()
 
 
 def test_servers_told_broken_again_after_silence_are_believed(manual_clock):
@@ -234,9 +234,9 @@
     key = desired.BackendKey("a")
     for _ in range(2):
         told.told("n1", [key])
-        assert told.broken() == {key}
+        assert told.servers() == {key}
         manual_clock.advance(datetime.timedelta(seconds=3))
-        assert not told.broken()
+        assert not told.servers()
 
 
 def test_servers_are_broken_while_anyone_tells_so(manual_clock):
@@ -245,7 +245,7 @@
     told.told("n1", [one])
     told.told("n2", [two])
     told.told("n1", [])
-    assert told.broken() == {two}
+    assert told.servers() == {two}
 
 
 def _many(near: int, far: int) -> serving.Serving:
@@ -273,3 +273,16 @@
     assert {one.key for one in servers.sample(random.Random(1))} == (
         servers.keys
     )
+
+
+def test_slow_servers_get_nothing_as_long_as_they_are_few():
+    """One of 63 ranks that is 12 times slower reads and writes for nobody.
+
+    Its own part of a pass grows with what it is given, and all wait for it.
+    """
+    servers = [edge_rig.backend(f"i-{num}") for num in range(10)]
+    few = {servers[0].key, servers[1].key}
+    assert serving.without(servers, few) == servers[2:]
+    many = {one.key for one in servers[:3]}
+    assert serving.without(servers, many) == servers
+    assert serving.without(servers[:1], few) == servers[:1]
