--- a/src/lugcross/cli/ctl.py
+++ b/src/lugcross/cli/ctl.py
@@ -5,15 +5,12 @@
 import json
 import pathlib
 import sys
-from typing import Any
 
 import click
-from google.protobuf import json_format
 from google.protobuf import message
-import rich.console
-import rich.table
 
 from lugcross import cfg
+from lugcross.cli import show
 from lugcross import ids
 from lugcross import rpc
 from lugcross.rpc import lugcross_pb2 as pb
@@ -37,13 +34,13 @@
 
     def show(self, msg: message.Message, text: Callable[[], None]) -> None:
         if self.as_json:
-            click.echo(json.dumps(_fields(msg)))
+            click.echo(json.dumps(show.fields(msg)))
         else:
             text()
 
     def finish(self, reply: pb.ChangeReply) -> None:
         """Show what became of a change and end with its status."""
-        self.show(reply, lambda: click.echo(_sentence(reply)))
+        self.show(reply, lambda: click.echo(show.sentence(reply)))
         sys.exit(_STATUS.get(reply.standing, _REJECTED))
 
     def revision(self, ref: cfg.Ref, expect: int | None) -> int:
@@ -312,7 +309,7 @@
 def config(session: _Session) -> None:
     """Show the configuration in force."""
     reply = session.client.config()
-    session.show(reply, lambda: _show_config(reply))
+    session.show(reply, lambda: show.config(reply))
 
 
 @ctl.command()
@@ -320,7 +317,7 @@
 def status(session: _Session) -> None:
     """Tell how the entry host stands and what it reaches."""
     reply = session.client.status()
-    session.show(reply, lambda: _show_status(reply))
+    session.show(reply, lambda: show.status(reply))
 
 
 @ctl.command()
@@ -329,7 +326,7 @@
 def explain(session: _Session, subject: str) -> None:
     """Tell what was decided about a request, server or change."""
     reply = session.client.explain(subject)
-    session.show(reply, lambda: _show_decisions(reply))
+    session.show(reply, lambda: show.decisions(reply))
 
 
 @ctl.command()
@@ -374,95 +371,3 @@
         obj = rpc.object_of(item)
         found[obj.ref] = (obj, ids.Revision(item.revision))
     return found
-
-
-def _fields(msg: message.Message) -> dict[str, Any]:
-    fields: dict[str, Any] = json_format.MessageToDict(
-        msg,
-        preserving_proto_field_name=True,
-        always_print_fields_with_no_presence=True,
-    )
-    return fields
-
-
-def _sentence(reply: pb.ChangeReply) -> str:
-    name = pb.Standing.Name(reply.standing).removeprefix("STANDING_")
-    parts = [f"change {reply.change_id}: {name.lower().replace('_', ' ')}"]
-    if reply.offset:
-        parts.append(f"at offset {reply.offset}")
-    if reply.reason:
-        parts.append(reply.reason)
-    if reply.current_revision:
-        parts.append(
-            f"the object is at revision {reply.current_revision} "
-            f"by {reply.current_author}"
-        )
-    return "; ".join(parts)
-
-
-def _show_config(reply: pb.Config) -> None:
-    table = rich.table.Table(title=f"configuration at offset {reply.offset}")
-    for name in ("object", "revision", "by", "fields"):
-        table.add_column(name)
-    for item in reply.items:
-        obj = rpc.object_of(item)
-        fields = " ".join(
-            f"{name}={getattr(obj, name)}"
-            for name in obj.__struct_fields__
-            if name != "name"
-        )
-        table.add_row(str(obj.ref), str(item.revision), item.author, fields)
-    rich.console.Console().print(table)
-
-
-def _show_status(reply: pb.NodeStatus) -> None:
-    state = reply.unready or "ready"
-    click.echo(
-        f"{reply.node} in {reply.domain}: {state}; configuration at offset "
-        f"{reply.offset}, heard {reply.knowledge_age_s:.1f} s ago; "
-        f"{reply.inflight} requests in progress; "
-        f"{'relay of the log' if reply.relay else 'no relay'}"
-    )
-    if reply.trouble:
-        click.echo(f"trouble: {reply.trouble}")
-    table = rich.table.Table(title="backend servers")
-    for name in (
-        "name",
-        "domain",
-        "state",
-        "queue",
-        "running",
-        "offset",
-        "heard s ago",
-    ):
-        table.add_column(name)
-    for peer in reply.peers:
-        table.add_row(
-            peer.backend,
-            peer.domain,
-            peer.why_down or peer.leaving or "linked",
-            str(peer.queued),
-            f"{peer.running}/{peer.capacity}",
-            str(peer.offset),
-            f"{peer.heard_s:.1f}",
-        )
-    rich.console.Console().print(table)
-    table = rich.table.Table(title="entry hosts, as agents see them")
-    for name in ("name", "domain", "offset"):
-        table.add_column(name)
-    for entry in reply.entries:
-        table.add_row(entry.node, entry.domain, str(entry.offset))
-    rich.console.Console().print(table)
-
-
-def _show_decisions(reply: pb.ExplainReply) -> None:
-    for item in reply.decisions:
-        inputs = f" [{'; '.join(item.inputs)}]" if item.inputs else ""
-        click.echo(
-            f"{item.at:.3f} {item.node} {item.topic}: {item.result} "
-            f"({item.rule}){inputs}"
-        )
-    if not reply.decisions:
-        click.echo("this entry host keeps no decision about it")
-    if reply.overwritten:
-        click.echo(f"{reply.overwritten} older decisions are overwritten")
--- a/src/lugcross/edge/pace.py
+++ b/src/lugcross/edge/pace.py
@@ -35,8 +35,8 @@
 #: Requests at an engine below which no count is in time: half of the engines
 #: would be idle.
 _OUT_OF_REACH = 0.5
-#: Part of the least count used that must be in time again to go back to it, so
-#: that a count is not changed by each pass that is a little shorter.
+#: Part of the least count used that must be in time again to go back to
+#: it, so that not each pass that is a little shorter changes the count.
 _IN_REACH = 0.6
 #: Times the longest pause in time that a pass may take while none is in time:
 #: a usual stream of some twenty events still ends well before its deadline.
--- a/src/lugcross/edge/slowness.py
+++ b/src/lugcross/edge/slowness.py
@@ -13,7 +13,7 @@
 from typing import final
 
 from lugcross import clock as clock_lib
-from lugcross.experts import Rank
+from lugcross import experts
 
 #: Times the usual from which on a rank counts as slow: below it, moving
 #: experts away costs more than the rank.
@@ -34,7 +34,7 @@
 
     def __init__(self) -> None:
         self._due = datetime.timedelta()
-        self._slow: dict[Rank, float] = {}
+        self._slow: dict[experts.Rank, float] = {}
 
     def jumped(
         self, now: clock_lib.Instant, report_lag: datetime.timedelta
@@ -51,7 +51,7 @@
         return now >= self._due
 
     def told(
-        self, slowness: Mapping[Rank, float], now: clock_lib.Instant
+        self, slowness: Mapping[experts.Rank, float], now: clock_lib.Instant
     ) -> bool:
         """Take over what ranks tell; tell whether it changes anything.
 
@@ -71,7 +71,7 @@
             for rank in ranks
         )
 
-    def ranks(self) -> list[Rank]:
+    def ranks(self) -> list[experts.Rank]:
         """Return the ranks that are slow."""
         return sorted(self._slow)
 
@@ -79,4 +79,6 @@
         """Return how slow each rank is; nothing where all are as usual."""
         if not self._slow:
             return ()
-        return tuple(self._slow.get(Rank(rank), 1.0) for rank in range(size))
+        return tuple(
+            self._slow.get(experts.Rank(rank), 1.0) for rank in range(size)
+        )
--- a/testing/edge/test_slowness.py
+++ b/testing/edge/test_slowness.py
@@ -3,8 +3,8 @@
 
 import datetime
 
-from lugcross import experts
 from lugcross.edge import slowness as slowness_lib
+from lugcross import experts
 
 LAG = datetime.timedelta(milliseconds=200)
 RANK = experts.Rank(1)
