--- a/src/lugcross/edge/pace.py
+++ b/src/lugcross/edge/pace.py
@@ -30,7 +30,7 @@
 #: Part of the slots that is used before any pause was seen.
 _FIRST_PART = 0.67
 #: Times the engine's own figure that a request may add to a pass: with the
-#: experts' work spread as badly as was ever seen. What is more is no request's.
+#: experts' work spread as badly as was seen. What is more is no request's.
 _REQUEST_MOST = 4.0
 #: Requests at an engine below which no count is in time: half of the engines
 #: would be idle.
