Open all places for known slow ranks only

What a pass takes beyond its requests was also put down to a slow rank where a group had just formed and read many prompts; all places at once make those passes longer still. Now it counts only while a rank tells that it is slow.

--- a/src/lugcross/edge/pace.py
+++ b/src/lugcross/edge/pace.py
@@ -89,7 +89,11 @@
         )
 
     def full(
-        self, engine: desired.Engine, limit: datetime.timedelta | None
+        self,
+        engine: desired.Engine,
+        limit: datetime.timedelta | None,
+        *,
+        slow: bool = False,
     ) -> float:
         """Return how many requests one engine may have at once.
 
@@ -98,6 +102,12 @@
         same, and refuse the rest for nothing. One of 63 ranks that is four
         times slower makes a pass take 170 ms with half of the slots and 195
         with all, where 120 are in time: 70 in 100 more requests are served.
+
+        That goes for slow ranks only, which are known: the first passes of a
+        group that has just formed read many prompts and are as long, and with
+        all slots given at once they would be longer.
+
+        :param slow: whether a rank is known to hold its group back.
         """
         held = self._per_request_ms
         if held is None or limit is None:
@@ -106,9 +116,8 @@
         always = _fixed_ms(engine) + (self._held_back_ms or 0.0)
         in_time = (limit / _MS * _MEAN_PART - always) / each
         least = engine.slots * _LEAST_PART
-        self._out_of_reach = in_time < (
-            least * _IN_REACH if self._out_of_reach else _OUT_OF_REACH
-        )
+        reach = least * _IN_REACH if self._out_of_reach else _OUT_OF_REACH
+        self._out_of_reach = slow and in_time < reach
         if self._out_of_reach:
             in_time = (limit / _MS * _LATE_MOST - always) / each
         return min(float(engine.slots), max(least, in_time))
--- a/src/lugcross/edge/world.py
+++ b/src/lugcross/edge/world.py
@@ -171,7 +171,14 @@
         """Return how many requests one server of ``service`` may have."""
         engine = self.engine(service)
         if engine is not None:
-            return self.pace(service).full(engine, route.max_gap)
+            slow = self.slow.servers()
+            return self.pace(service).full(
+                engine,
+                route.max_gap,
+                slow=any(
+                    self.backends.service_of(key) == service for key in slow
+                ),
+            )
         slots = [one.slots for one in self.backends.of(service)]
         return admission.PLAIN_FULL * min(slots, default=1)
 
--- a/testing/edge/test_decisions.py
+++ b/testing/edge/test_decisions.py
@@ -184,7 +184,7 @@
             per_engine=full[-1],
             limit=LIMIT,
         )
-        full.append(learned.full(ENGINE, LIMIT))
+        full.append(learned.full(ENGINE, LIMIT, slow=times > 1.0))
     return full[1:]
 
 
@@ -205,6 +205,21 @@
     assert max(after) <= max(before) + 1.0
 
 
+def test_long_passes_without_a_slow_rank_do_not_open_all_places():
+    """A group that has just formed reads many prompts in its first passes."""
+    learned = pace.Pace()
+    for num in range(20):
+        learned.paused(
+            datetime.timedelta(milliseconds=200),
+            num * SECOND,
+            engine=ENGINE,
+            per_engine=3.0,
+            limit=LIMIT,
+        )
+    assert learned.full(ENGINE, LIMIT) == ENGINE.slots / 2
+    assert learned.full(ENGINE, LIMIT, slow=True) == ENGINE.slots
+
+
 def test_passes_far_too_slow_take_no_more_than_end_in_time():
     """A rank twelve times slower: all slots would end after their deadline."""
     found = _replay([1.0] * 40 + [12.0] * 40)
