Fuzz what peers and engines answer; bound what a rank may tell of its pace

Any bytes and any values as datagrams, questions and answers of peers, and as reports of engines: a message or a known error, nothing else (no fault found in peers' messages). A report could tell of a rank 1e300 times slower, by which plans would have reckoned; 100 at most counts.

--- a/src/lugcross/platform/engines.py
+++ b/src/lugcross/platform/engines.py
@@ -23,6 +23,9 @@
 _LISTS = "/picked?lists=1"
 _ORDER = "/order"
 _OPEN = "open"
+#: Most times slower than usual that a rank is taken for: what is slower still
+#: gets no more work than it would at this, and figures stay finite.
+_SLOWNESS_MOST = 100.0
 
 #: Sends one request (method, target, body) to a backend server and returns
 #: status and body; raises what :mod:`lugcross.http1` raises.
@@ -133,7 +136,7 @@
                 )
             ),
             held=None if raw.held is None else experts.Step(raw.held),
-            slowness=max(1.0, raw.pace),
+            slowness=min(max(1.0, raw.pace), _SLOWNESS_MOST),
         )
 
     async def counts(
--- /dev/null
+++ b/testing/edge/test_foreign_bytes.py
@@ -0,0 +1,94 @@
+# SPDX-License-Identifier: Apache-2.0
+"""Whatever bytes come from peers, they are a message or a known error."""
+
+from collections.abc import Callable
+
+import cbor2
+from hypothesis import given
+from hypothesis import strategies
+import msgspec
+import pytest
+
+from lugcross.edge import messages
+
+VALUES = strategies.recursive(
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers()
+    | strategies.floats()
+    | strategies.text(max_size=5)
+    | strategies.binary(max_size=5),
+    lambda inner: (
+        strategies.lists(inner, max_size=4)
+        | strategies.dictionaries(
+            strategies.text(max_size=3), inner, max_size=3
+        )
+    ),
+    max_leaves=20,
+)
+DECODERS = [
+    messages.decode_datagram,
+    messages.decode_ask,
+    messages.decode_state,
+]
+BEAT = messages.Beat("n", "i", "d", 1, False, 1, 1, {"a": 1}, ["h:1"])
+#: Nested deeper than any decoder goes, and lengths that no bytes follow.
+EXTREMES = [
+    b"",
+    b"\x81" * 100_000,
+    b"\xa1\x61a" * 50_000,
+    b"\x9b" + b"\xff" * 8,
+    b"\x5b" + b"\xff" * 8,
+    b"\xd9\x01\x00" * 1000,
+    b"\xc2\x58\xff",
+    b"\xa1\x80\x01",
+    b"\x7f\x61a",
+    b"\xd8\x1c\xd8\x1d\x00",
+    b"\xc1\xfb\x7f\xef" + b"\xff" * 6,
+    b"\xc0\x61a",
+]
+
+
+def _read(decode: Callable[[bytes], object], data: bytes) -> None:
+    try:
+        decode(data)
+    except (cbor2.CBORDecodeError, msgspec.ValidationError):
+        pass
+
+
+@pytest.mark.parametrize("decode", DECODERS)
+@pytest.mark.parametrize("data", EXTREMES)
+def test_extreme_bytes_are_refused(
+    decode: Callable[[bytes], object], data: bytes
+):
+    _read(decode, data)
+
+
+@pytest.mark.parametrize("decode", DECODERS)
+@given(data=strategies.binary(max_size=80))
+def test_any_bytes_are_a_message_or_refused(
+    decode: Callable[[bytes], object], data: bytes
+):
+    _read(decode, data)
+
+
+@pytest.mark.parametrize("decode", DECODERS)
+@given(value=VALUES)
+def test_any_value_is_a_message_or_refused(
+    decode: Callable[[bytes], object], value: object
+):
+    _read(decode, cbor2.dumps(value))
+
+
+@given(
+    place=strategies.integers(
+        min_value=0, max_value=len(BEAT.__struct_fields__) - 1
+    ),
+    value=VALUES,
+)
+def test_beat_with_any_field_replaced_is_a_message_or_refused(
+    place: int, value: object
+):
+    fields = cbor2.loads(messages.encode(BEAT))
+    fields[place] = value
+    _read(messages.decode_datagram, cbor2.dumps(fields))
--- a/testing/platform/test_engines.py
+++ b/testing/platform/test_engines.py
@@ -6,6 +6,8 @@
 import json
 
 import edge_rig
+from hypothesis import given
+from hypothesis import strategies
 import pytest
 
 from lugcross import desired
@@ -112,6 +114,38 @@
         asyncio.run(asked.counts(BACKEND, LIMITS))
 
 
+@pytest.mark.parametrize(
+    ("pace", "slowness"),
+    [(1.0, 1.0), (4.04, 4.04), (0.5, 1.0), (1e300, 100.0)],
+    ids=["usual", "slow", "fast", "absurd"],
+)
+def test_rank_tells_how_slow_it_is(pace: float, slowness: float):
+    asked, _ = engines({**REPORT, "pace": pace})
+    report = asyncio.run(asked.report(BACKEND))
+    assert report is not None
+    assert report.slowness == slowness
+
+
+@given(
+    field=strategies.sampled_from([*sorted(REPORT), "pace", "born", "more"]),
+    value=strategies.recursive(
+        strategies.none()
+        | strategies.integers()
+        | strategies.floats(allow_nan=False, allow_infinity=False)
+        | strategies.text(max_size=4),
+        lambda inner: strategies.lists(inner, max_size=3),
+        max_leaves=5,
+    ),
+)
+def test_any_report_is_read_or_no_answer(field: str, value: object):
+    asked, _ = engines({**REPORT, field: value})
+    try:
+        report = asyncio.run(asked.report(BACKEND))
+    except platform.EngineError:
+        return
+    assert report is None or 1.0 <= report.slowness <= 100.0
+
+
 @pytest.mark.parametrize("told", [2000, 1000, None])
 def test_answer_of_another_life_is_no_answer(told: int | None):
     """An engine that started again knows nothing of what it was told before.
