--- a/bench/maps.py
+++ b/bench/maps.py
@@ -13,7 +13,14 @@
 from lugcross import experts
 
 #: Ranks, sets and experts of each group that is tried.
-SIZES = [(8, 6, 64), (32, 12, 128), (256, 12, 128), (256, 60, 128)]
+SIZES = [
+    (8, 6, 64),
+    (32, 12, 128),
+    (63, 8, 252),
+    (96, 16, 192),
+    (256, 12, 128),
+    (256, 60, 128),
+]
 #: Popularity of the expert in place n: about what engines showed.
 _FALL = 1.6
 _COPIES = 3
