Tell in the log which tries are one request

Cause: every try has an id of its own, so that logs could not tell whether servers ended under one request that came back or under many. Change: suspects.identity; the line of a failed attempt carries it.

--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,7 @@
 # the port that it had, which a test beside them may have taken meanwhile.
 TEST_JOBS ?= 4
 DECISIONS := $(addprefix testing/,agent cfg entry experts membership \
-    placement routing shares)
+    placement routing shares suspects)
 
 test: venv
 	$(BIN)/pytest -n $(TEST_JOBS) $(DECISIONS)
--- a/src/lugcross/edge/attempt.py
+++ b/src/lugcross/edge/attempt.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 import dataclasses
 import datetime
+import functools
 import http
 from typing import final
 
@@ -19,6 +20,7 @@
 from lugcross import ids
 from lugcross import platform
 from lugcross import routing
+from lugcross import suspects
 
 #: Time within which a peer's host acknowledges a request. Many round trips
 #: within a region, and one packet that is lost and sent again after 0.2 s.
@@ -54,6 +56,18 @@
         """Name of the workspace, if keys are used."""
         return self.workspace.name if self.workspace else None
 
+    @functools.cached_property
+    def fingerprint(self) -> suspects.Fingerprint:
+        """What all tries of this request have in common."""
+        return suspects.Identity(
+            service=self.service,
+            workspace=self.space or "",
+            host=self.route.host,
+            method=self.req.method,
+            target=self.req.target,
+            body=self.req.body or b"",
+        ).fingerprint()
+
 
 class _BadAnswerError(Exception):
     """An answer that cannot be the one to this request."""
@@ -335,6 +349,7 @@
             "backend server failed",
             extra={
                 "request": self._plan.head.attempt_id,
+                "same": self._plan.fingerprint.hex(),
                 "backend": self._backend.key,
                 "why": why,
                 "ejected": ejected,
--- /dev/null
+++ b/testing/suspects/test_identity.py
@@ -0,0 +1,45 @@
+# SPDX-License-Identifier: Apache-2.0
+"""Which tries count as one request."""
+
+import dataclasses
+
+import pytest
+
+from lugcross import suspects
+
+REQUEST = suspects.Identity(
+    service="s",
+    workspace="w",
+    host="h",
+    method=b"POST",
+    target=b"/r/x?q=1",
+    body=b"body",
+)
+
+
+def test_same_request_has_one_fingerprint():
+    again = dataclasses.replace(REQUEST)
+    assert again.fingerprint() == REQUEST.fingerprint()
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"service": "s2"},
+        {"workspace": "w2"},
+        {"host": "h2"},
+        {"method": b"PUT"},
+        {"target": b"/r/x"},
+        {"body": b"other"},
+    ],
+    ids=lambda change: next(iter(change)),
+)
+def test_anything_else_is_another_request(change):
+    other = dataclasses.replace(REQUEST, **change)
+    assert other.fingerprint() != REQUEST.fingerprint()
+
+
+def test_nothing_moves_between_the_parts():
+    one = dataclasses.replace(REQUEST, target=b"/ab", body=b"c")
+    two = dataclasses.replace(REQUEST, target=b"/a", body=b"bc")
+    assert one.fingerprint() != two.fingerprint()
