Show that a request may end server after server, in a small fleet

Cause: nothing remembers a request once it has ended. Ruled out by the play: one try sent more often than its route allows.

--- /dev/null
+++ b/testing/support/ending_rig.py
@@ -0,0 +1,319 @@
+# SPDX-License-Identifier: Apache-2.0
+"""A small fleet before servers that some requests end, in virtual time.
+
+Processes are whole but for their sockets: runner, knowledge, datagrams and
+followers of the store. Servers work, end, and start again with a new id.
+"""
+
+import asyncio
+from collections.abc import Iterator
+import contextlib
+import dataclasses
+import datetime
+import itertools
+import json
+import random
+
+import edge_rig
+import fleet_rig
+import virtual_time
+
+from lugcross.edge import runner as runner_lib
+from lugcross import http1
+from lugcross import platform
+
+#: How long an ordinary request runs, in seconds.
+WORK_S = 1.0
+#: How long a server runs a request that ends it, in seconds.
+ENDS_AFTER_S = 0.09
+#: From the end of a server until its next life, in seconds.
+BACK_S = 3.0
+#: From the end of a server until its entry goes, in seconds.
+LAPSE_S = 2.0
+SLOTS = 6
+_WAY_S = 0.001
+_SERVER_PORT = 80
+_KEYS = ("key-a", "key-b", "key-c")
+
+
+def _desired(attempts: int) -> bytes:
+    limits = dict.fromkeys(
+        ("header_bytes", "body_bytes", "header_ms", "idle_ms"), 100_000
+    )
+    route = {
+        "name": "r",
+        "host": "h",
+        "path_prefix": "/r/",
+        "kind": "safe",
+        "service": "app",
+        "timeout_ms": 8000,
+        "latency_target_ms": 400,
+        "attempts": attempts,
+        "priority": 1,
+    }
+    tenants = [{"name": f"w-{key}", "api_keys": [key]} for key in _KEYS]
+    return json.dumps(
+        {
+            "version": 1,
+            "routes": [route],
+            "services": [{"name": "app"}],
+            "limits": limits,
+            "tenants": tenants,
+        }
+    ).encode()
+
+
+@dataclasses.dataclass(eq=False)
+class Server:
+    """One place at which servers run, one life after the other."""
+
+    place: int
+    name: str = ""
+    up: bool = False
+    running: int = 0
+    ended: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
+
+    @property
+    def host(self) -> str:
+        return f"10.0.0.{self.place + 1}"
+
+
+@dataclasses.dataclass(frozen=True)
+class Send:
+    """A request that reached a server."""
+
+    at: float
+    body: bytes
+    node: str
+    server: str
+
+
+@dataclasses.dataclass
+class Answer:
+    """What a caller was told."""
+
+    at: float
+    body: bytes
+    status: int = 0
+    text: bytes = b""
+
+
+class _Conn:
+    """Takes the place of :class:`lugcross.http1.ClientConn`."""
+
+    closing = False
+    pending = False
+
+    def __init__(self, fleet: "Fleet", server: Server, node: str) -> None:
+        self._fleet = fleet
+        self._server = server
+        self._life = server.name
+        self._node = node
+        self.reusable = True
+
+    def unheard(self) -> bool:
+        return False
+
+    def send(self, method, target, headers, body):
+        del method, target
+        self._headers = {name.lower(): value for name, value in headers}
+        self._body = body
+
+    async def answer(self) -> http1.Answer:
+        await asyncio.sleep(_WAY_S)
+        server = self._server
+        if not server.up or server.name != self._life:
+            raise self._broken()
+        if server.running >= SLOTS:
+            return self._answer(503, (b"not-executed", b"1"))
+        self._fleet.reached(self._body, self._node, server)
+        ended = server.ended
+        server.running += 1
+        try:
+            async with asyncio.timeout(self._fleet.work_s(self._body)):
+                await ended.wait()
+        except TimeoutError:
+            if self._fleet.ends(self._body):
+                self._fleet.end(server)
+        finally:
+            server.running -= 1
+        if ended.is_set():
+            await asyncio.sleep(_WAY_S)
+            raise self._broken()
+        return self._answer(200, (b"response-seal", b"s"))
+
+    def _broken(self) -> http1.BrokenError:
+        self.reusable = False
+        return http1.BrokenError("reset by peer", remedy="not known")
+
+    def _answer(self, status: int, *headers: tuple[bytes, bytes]):
+        attempt = self._headers[b"attempt-identifier"]
+        found = [(b"attempt-identifier", attempt), *headers]
+        return http1.Answer(status, found, found)
+
+    async def body(self) -> bytes:
+        return b"whole"
+
+    def close(self) -> None:
+        self.closing = True
+
+
+class _Exchange:
+    """Takes what a caller is told."""
+
+    def __init__(self, answer: Answer) -> None:
+        self._answer = answer
+        self.started = False
+
+    async def head(self, status, headers, body=b"", *, whole=False):
+        del headers, whole
+        self.started = True
+        self._answer.status = int(status)
+        self._answer.text = body
+
+
+class Fleet(fleet_rig.Fleet):
+    """Processes and servers; the bodies ``ending`` end who runs them."""
+
+    def __init__(
+        self,
+        monkeypatch,
+        *domains: int,
+        servers: int,
+        attempts: int = 2,
+        seed: int = 1,
+    ) -> None:
+        super().__init__(monkeypatch, *domains)
+        self.ending: set[bytes] = set()
+        self.sends: list[Send] = []
+        self.ends_at: list[tuple[float, str]] = []
+        self.answers: list[Answer] = []
+        self._ids = itertools.count()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.rng = random.Random(seed)
+        self.servers = [Server(place) for place in range(servers)]
+        self._by_host = {one.host: one for one in self.servers}
+        monkeypatch.setattr(http1, "connect", self._connect)
+        self.store.standin.append(
+            platform.OPERATOR_TOPIC, platform.DESIRED_KEY, _desired(attempts)
+        )
+        for one in self.servers:
+            self._begin(one)
+
+    def _begin(self, server: Server) -> None:
+        server.name = f"i-{next(self._ids)}"
+        server.up = True
+        server.running = 0
+        server.ended = asyncio.Event()
+        value = edge_rig.entry(
+            "app",
+            f"{server.host}:{_SERVER_PORT}",
+            f"d{server.place % 2}",
+            slots=SLOTS,
+        )
+        self.store.standin.append(platform.BACKENDS_TOPIC, server.name, value)
+
+    def end(self, server: Server) -> None:
+        """End a server as a crash does; it is back after some seconds."""
+        if not server.up:
+            return
+        loop = asyncio.get_running_loop()
+        server.up = False
+        server.ended.set()
+        self.ends_at.append((loop.time(), server.name))
+        loop.call_later(
+            LAPSE_S,
+            self.store.standin.append,
+            platform.BACKENDS_TOPIC,
+            server.name,
+            b"",
+        )
+        loop.call_later(BACK_S, self._begin, server)
+
+    def ends(self, body: bytes) -> bool:
+        """Tell whether a request ends who runs it."""
+        return body in self.ending
+
+    def work_s(self, body: bytes) -> float:
+        """Return how long a request runs."""
+        return ENDS_AFTER_S if self.ends(body) else WORK_S
+
+    def reached(self, body: bytes, node: str, server: Server) -> None:
+        """Note that a server has begun a request."""
+        now = asyncio.get_running_loop().time()
+        self.sends.append(Send(now, body, node, server.name))
+
+    async def _connect(self, host: str, port: int, *, timeout_s: float):
+        server = self._by_host.get(host)
+        if server is None:
+            return await self.store.connect(host, port, timeout_s=timeout_s)
+        await asyncio.sleep(_WAY_S)
+        if not server.up:
+            refused = ConnectionRefusedError("refused")
+            raise http1.NoConnectionError("refused", remedy="-") from refused
+        return _Conn(self, server, "")
+
+    def ask(self, node: str, body: bytes, key: str = _KEYS[0]) -> None:
+        """Send a request to a process; its answer comes to ``answers``."""
+        task = asyncio.create_task(self._ask(node, body, key))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _ask(self, name: str, body: bytes, key: str) -> None:
+        clock = virtual_time.LoopClock()
+        node = self.nodes[name]
+        headers = [
+            (b"host", b"h"),
+            (b"attempt-identifier", b"a%d" % next(self._ids)),
+            (b"time-remaining", b"8000"),
+            (b"x-api-key", key.encode()),
+        ]
+        req = http1.Request(
+            method=b"POST",
+            target=b"/r/x",
+            headers=headers,
+            raw=headers,
+            body=body,
+            at=clock.monotonic(),
+        )
+        answer = Answer(asyncio.get_running_loop().time(), body)
+        runner = runner_lib.Runner(
+            node.world,
+            closed=lambda: False,
+            changed=node.knowledge.peers.changed,
+            clock=clock,
+            rng=self.rng,
+        )
+        await runner.handle(_Exchange(answer), req)
+        self.answers.append(answer)
+
+    async def ordinary_load(self, per_s: float) -> None:
+        """Send ordinary requests to all processes until cancelled."""
+        for num in itertools.count():
+            await asyncio.sleep(self.rng.expovariate(per_s))
+            name = self.rng.choice(list(self.nodes))
+            key = self.rng.choice(_KEYS)
+            self.ask(name, b"ordinary %d" % num, key)
+
+    @contextlib.contextmanager
+    def under_load(self, per_s: float) -> Iterator[None]:
+        """Send ordinary requests meanwhile."""
+        task = asyncio.create_task(self.ordinary_load(per_s))
+        try:
+            yield
+        finally:
+            task.cancel()
+
+    def ends_of(self, body: bytes) -> list[float]:
+        """Return when servers ended under a request, first one first."""
+        ran = {one.server for one in self.sends if one.body == body}
+        return [at for at, name in self.ends_at if name in ran]
+
+    def sends_after_third(self, body: bytes) -> int:
+        """Return its sends later than the bound after its third end."""
+        ends = self.ends_of(body)
+        if len(ends) < 3:
+            return 0
+        contact: datetime.timedelta = edge_rig.BOUNDS.contact
+        since = ends[2] + contact.total_seconds()
+        return sum(one.at > since for one in self.sends if one.body == body)
