Refuse requests that end the servers that run them

Cause: nothing remembered a request once it had ended. Each try, ours or the caller's, at any process, ended one more server, and at once a second one. Ruled out: more tries than the route allows (no id was sent more than twice); servers that end by themselves (tests with rack and rolling crashes). Change: suspects (ledger, placing), pure; edge.endings asks a server's host whether it has ended; edge.casenews tells peers by the datagrams that are there; edge.casestore keeps what is refused in the store for a fleet that loses power. Two ends are enough where they tell the request from all others, three if not, four while servers end at large; who ran to its end is cleared.

--- a/bench/news.py
+++ b/bench/news.py
@@ -42,7 +42,9 @@
     clock = clock_lib.ManualClock()
     clock.advance(datetime.timedelta(seconds=60))
     world = world_lib.World(cfg, clock=clock, rng=rng)
-    known = knowledge_lib.Knowledge(cfg, world, _Nowhere(), clock=clock)
+    known = knowledge_lib.Knowledge(
+        cfg, world, _Nowhere(), clock=clock, rng=random.Random(1)
+    )
     known.peers.connection_made(_Nowhere())
     return known
 
--- a/src/lugcross/desired/backends.py
+++ b/src/lugcross/desired/backends.py
@@ -32,6 +32,7 @@
         its id is never used again.
     :param host: IP number.
     :param slots: requests that it works on at once.
+    :param software: version of the service that it runs.
     """
 
     id: BackendId
@@ -42,6 +43,7 @@
     domain: ids.DomainName
     slots: int
     state: BackendState
+    software: str = ""
 
     @functools.cached_property
     def key(self) -> BackendKey:
--- a/src/lugcross/edge/app.py
+++ b/src/lugcross/edge/app.py
@@ -80,7 +80,7 @@
             settings.store.address, timeout=STORE_TIMEOUT
         )
         self.knowledge = knowledge_lib.Knowledge(
-            settings, self.world, self._store, clock=clock
+            settings, self.world, self._store, clock=clock, rng=rng
         )
         self._runner = runner_lib.Runner(
             self.world,
@@ -219,9 +219,14 @@
             store_lost=float(self.knowledge.trouble.now),
             peers=len(self.knowledge.peers.live()),
             connections=len(self._conns),
+            suspects=len(self.world.endings.ledger),
         )
         self.world.figures.running(self.world.uses.by_service())
-        give = functools.partial(figures_lib.give, self.world.figures)
+        give = functools.partial(
+            figures_lib.give,
+            self.world.figures,
+            listing=self.world.endings.listing,
+        )
         await self._serve_inner(reader, writer, give)
 
     async def _serve_inner(
@@ -293,7 +298,7 @@
         except errors.SettingsError as exc:
             logging.error("settings kept out", extra={"why": str(exc)})
             return
-        self.world.allow(settings.bounds, settings.shares)
+        self.world.allow(settings)
         self._maps.cfg = settings.maps
         logging.info("settings read anew")
 
--- a/src/lugcross/edge/attempt.py
+++ b/src/lugcross/edge/attempt.py
@@ -3,9 +3,7 @@
 
 import asyncio
 from collections.abc import Callable
-import dataclasses
 import datetime
-import functools
 import http
 from typing import final
 
@@ -15,12 +13,11 @@
 from lugcross import desired
 from lugcross.edge import events
 from lugcross.edge import lifecycle
+from lugcross.edge import plan as plan_lib
 from lugcross.edge import world as world_lib
 from lugcross import http1
-from lugcross import ids
 from lugcross import platform
 from lugcross import routing
-from lugcross import suspects
 
 #: Time within which a peer's host acknowledges a request. Many round trips
 #: within a region, and one packet that is lost and sent again after 0.2 s.
@@ -34,41 +31,6 @@
 _STREAM = b"text/event-stream"
 
 
-@final
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Plan:
-    """One request, checked and ready to be sent.
-
-    :param deadline: when it must have its final answer.
-    :param version: version of the desired state that it goes by.
-    """
-
-    req: http1.Request
-    head: platform.CallerHead
-    route: desired.Route
-    service: ids.ServiceName
-    workspace: desired.Workspace | None
-    deadline: clock_lib.Instant
-    version: int
-
-    @property
-    def space(self) -> ids.WorkspaceName | None:
-        """Name of the workspace, if keys are used."""
-        return self.workspace.name if self.workspace else None
-
-    @functools.cached_property
-    def fingerprint(self) -> suspects.Fingerprint:
-        """What all tries of this request have in common."""
-        return suspects.Identity(
-            service=self.service,
-            workspace=self.space or "",
-            host=self.route.host,
-            method=self.req.method,
-            target=self.req.target,
-            body=self.req.body or b"",
-        ).fingerprint()
-
-
 class _BadAnswerError(Exception):
     """An answer that cannot be the one to this request."""
 
@@ -85,7 +47,7 @@
     def __init__(
         self,
         exchange: http1.Exchange,
-        plan: Plan,
+        plan: plan_lib.Plan,
         clock: clock_lib.Clock,
     ) -> None:
         self._exchange = exchange
@@ -141,19 +103,23 @@
     """Sends a request to one backend server and passes its answer on.
 
     :param again: tells whether it may go to another one if it breaks here.
+    :param fresh: whether it must not be sent to a server that has ended
+        already: nothing may speak against a request that never ran there.
     """
 
     def __init__(
         self,
         world: world_lib.World,
         clock: clock_lib.Clock,
-        plan: Plan,
+        plan: plan_lib.Plan,
         backend: desired.Backend,
         delivery: Delivery,
         *,
         again: Callable[[], bool],
+        fresh: bool,
     ) -> None:
         self._again = again
+        self._fresh = fresh
         self._world = world
         self._clock = clock
         self._plan = plan
@@ -161,6 +127,8 @@
         self._delivery = delivery
         self._keep: datetime.timedelta | None = None
         self._unheard = False
+        #: Whether the server, or its host, ended the connection.
+        self.cut_off = False
 
     async def run(self) -> lifecycle.Event | None:
         """Return none once the caller has the whole answer.
@@ -174,7 +142,9 @@
         try:
             try:
                 once = not self._plan.route.repeatable
-                conn = await world.pool.take(self._backend, once=once)
+                conn = await world.pool.take(
+                    self._backend, once=once, fresh=self._fresh
+                )
             except http1.NoConnectionError as exc:
                 self._failed(str(exc))
                 return lifecycle.Event.UNREACHED
@@ -190,6 +160,8 @@
             event = await self._receive(conn)
             whole = conn.reusable
         except (http1.BrokenError, _BadAnswerError) as exc:
+            ended = isinstance(exc, http1.BrokenError)
+            self.cut_off = ended and not self._unheard
             unheard = "no byte of the request was acknowledged"
             self._failed(unheard if self._unheard else str(exc))
             return lifecycle.Event.BROKEN
--- /dev/null
+++ b/src/lugcross/edge/casenews.py
@@ -0,0 +1,102 @@
+# SPDX-License-Identifier: Apache-2.0
+"""What processes tell each other of requests that end servers.
+
+What is new goes with each datagram for a while, so that a few lost ones do no
+harm; what gets requests refused goes again and again, some with each datagram,
+so that a process that has just started or was cut off learns of it.
+"""
+
+import datetime
+import itertools
+from typing import final
+
+from lugcross import clock as clock_lib
+from lugcross.edge import messages
+from lugcross import suspects
+
+#: How long a case is told with each datagram after it has changed: several
+#: heartbeats, well within the time in which it must be known everywhere.
+_NEW = datetime.timedelta(seconds=2)
+#: New cases that one datagram tells: a server runs six at once as a rule, and
+#: each takes about 60 bytes.
+_NEW_MOST = 8
+#: Others that one datagram tells: of twenty that are refused, each is told
+#: anew within five seconds at rest, and sooner under load.
+_OLD_MOST = 2
+#: Ends with which a case is told again and again.
+_AGAIN_ENDS = 2
+_MS = datetime.timedelta(milliseconds=1)
+
+
+@final
+class CaseNews:
+    """Tells and hears cases by a process's datagrams."""
+
+    def __init__(
+        self, ledger: suspects.Ledger, clock: clock_lib.Clock
+    ) -> None:
+        self._ledger = ledger
+        self._clock = clock
+        self._turn = 0
+
+    def tell(self) -> list[messages.Suspect]:
+        """Return what the next datagram should tell."""
+        if not len(self._ledger):
+            return []
+        now = self._clock.monotonic()
+        cases = self._ledger.cases()
+        new = [one for one in cases if now - one.newest < _NEW][:_NEW_MOST]
+        old = [
+            one
+            for one in cases
+            if one not in new and len(one.against) >= _AGAIN_ENDS
+        ]
+        turn = self._turn % len(old) if old else 0
+        self._turn = turn + _OLD_MOST
+        some = itertools.islice(itertools.cycle(old), turn, turn + _OLD_MOST)
+        told = {one.request: one for one in [*new, *some]}
+        return [message(one, now) for one in told.values()]
+
+    def hear(self, told: list[messages.Suspect]) -> None:
+        """Take over what a peer tells."""
+        now = self._clock.monotonic()
+        for one in told:
+            self._ledger.merge(case(one, now), now)
+
+
+def message(case: suspects.Case, now: clock_lib.Instant) -> messages.Suspect:
+    return messages.Suspect(
+        case.request,
+        [_server_end(one, now) for one in case.ends],
+        -1 if case.cleared is None else _ago(case.cleared, now),
+    )
+
+
+def case(told: messages.Suspect, now: clock_lib.Instant) -> suspects.Case:
+    """Return the case that was told at ``now``."""
+    ends = tuple(
+        suspects.End(
+            one.server,
+            one.software,
+            now - one.ago_ms * _MS,
+            one.ran_ms * _MS,
+        )
+        for one in told.ends
+    )
+    cleared = None if told.cleared_ms < 0 else now - told.cleared_ms * _MS
+    return suspects.Case(suspects.Fingerprint(told.request), ends, cleared)
+
+
+def _server_end(
+    end: suspects.End, now: clock_lib.Instant
+) -> messages.ServerEnd:
+    return messages.ServerEnd(
+        end.server,
+        end.software,
+        ago_ms=_ago(end.at, now),
+        ran_ms=min(int(end.ran / _MS), messages.LAPSE_MS),
+    )
+
+
+def _ago(at: clock_lib.Instant, now: clock_lib.Instant) -> int:
+    return min(int((now - at) / _MS), messages.LAPSE_MS)
--- /dev/null
+++ b/src/lugcross/edge/casestore.py
@@ -0,0 +1,113 @@
+# SPDX-License-Identifier: Apache-2.0
+"""What the store keeps of requests that are refused.
+
+Processes tell each other all that they know, and whoever starts learns it from
+them. Where all lose power at once, nobody is left to ask: each time two more
+servers would end. So who finds that a request is to be refused writes that
+down, one record for each such request, and who starts reads them, once.
+"""
+
+import asyncio
+import datetime
+from typing import final
+
+from absl import logging
+import cbor2
+import msgspec
+
+from lugcross import clock as clock_lib
+from lugcross.edge import casenews
+from lugcross.edge import messages
+from lugcross import errors
+from lugcross import platform
+from lugcross import suspects
+
+#: Time between two tries while the store does not answer, in seconds: what
+#: is to be written down is known to all processes meanwhile.
+_AGAIN_S = 1.0
+_MS = datetime.timedelta(milliseconds=1)
+
+
+@final
+class _Kept(msgspec.Struct, frozen=True, array_like=True):
+    """One record.
+
+    :param written_ms: when, by the writer's time of day, in milliseconds
+        since 1970.
+    """
+
+    suspect: messages.Suspect
+    written_ms: int
+
+
+@final
+class CaseStore:
+    """Writes cases down, and reads them at the start."""
+
+    def __init__(
+        self,
+        ledger: suspects.Ledger,
+        store: platform.StoreClient,
+        clock: clock_lib.Clock,
+    ) -> None:
+        self._ledger = ledger
+        self._store = store
+        self._clock = clock
+        self._due: asyncio.Queue[suspects.Fingerprint] = asyncio.Queue()
+
+    def keep(self, request: suspects.Fingerprint) -> None:
+        """Have what is known of a request written down soon."""
+        self._due.put_nowait(request)
+
+    async def run(self) -> None:
+        """Read what others have written, then write until cancelled."""
+        while not await self._read():
+            await asyncio.sleep(_AGAIN_S)
+        while True:
+            request = await self._due.get()
+            while not await self._write(request):
+                await asyncio.sleep(_AGAIN_S)
+
+    async def _read(self) -> bool:
+        try:
+            tail = await self._store.newest(platform.SUSPECTS_TOPIC)
+        except errors.PlatformError as exc:
+            logging.warning("suspects not read", extra={"why": str(exc)})
+            return False
+        for record in tail.records:
+            await self._take(record)
+        return True
+
+    async def _take(self, record: platform.KeyedRecord) -> None:
+        now = self._clock.monotonic()
+        try:
+            raw = cbor2.loads(record.value)
+            kept = msgspec.convert(raw, _Kept, builtin_types=(bytes,))
+        except (cbor2.CBORDecodeError, msgspec.ValidationError) as exc:
+            logging.warning("bad suspect kept", extra={"why": str(exc)})
+            return
+        ago = max(self._now_ms() - kept.written_ms, 0) * _MS
+        if ago >= suspects.LAPSE:
+            # Nobody needs it any more; others may drop it as well.
+            await self._put(record.key, b"")
+            return
+        self._ledger.merge(casenews.case(kept.suspect, now - ago), now)
+
+    async def _write(self, request: suspects.Fingerprint) -> bool:
+        case = self._ledger.find(request)
+        if case is None:
+            return True
+        told = casenews.message(case, self._clock.monotonic())
+        value = messages.encode(_Kept(told, self._now_ms()))
+        return await self._put(request.hex(), value)
+
+    async def _put(self, key: str, value: bytes) -> bool:
+        try:
+            await self._store.put(platform.SUSPECTS_TOPIC, key, value)
+        except errors.PlatformError as exc:
+            logging.warning("suspect not written", extra={"why": str(exc)})
+            return False
+        return True
+
+    def _now_ms(self) -> int:
+        return int(self._clock.now().timestamp() * 1000)
--- a/src/lugcross/edge/figures.py
+++ b/src/lugcross/edge/figures.py
@@ -1,6 +1,7 @@
 # SPDX-License-Identifier: Apache-2.0
 """Counters and histograms of one process, as text for collectors."""
 
+from collections.abc import Callable
 from collections.abc import Mapping
 import datetime
 import heapq
@@ -18,6 +19,8 @@
 #: Workspaces of a service that are told by name, so that figures stay small
 #: however many there are; all others are told as one.
 _NAMED = 20
+#: Where the list of suspect requests is.
+LISTING_PATH = b"/suspects"
 #: Stands for all workspaces that are not told by name.
 _REST = "(others)"
 
@@ -40,6 +43,12 @@
             ("service", "event"),
             registry=self._registry,
         )
+        self._suspects = prometheus_client.Counter(
+            "lugcross_suspects_refused",
+            "Requests refused since servers have ended under them.",
+            ("service",),
+            registry=self._registry,
+        )
         self._first = prometheus_client.Histogram(
             "lugcross_first_byte_seconds",
             "Time from a request's head to the first of its answer.",
@@ -71,6 +80,7 @@
                 ("store_lost", "1 while the store does not answer."),
                 ("peers", "Peers that were heard lately."),
                 ("connections", "Callers' connections that are open."),
+                ("suspects", "Requests under which servers have ended."),
             )
         }
 
@@ -86,6 +96,10 @@
         """Count one attempt at a backend server."""
         self._attempts.labels(service, event).inc()
 
+    def suspect_refused(self, service: str) -> None:
+        """Count a request that is refused since servers ended under it."""
+        self._suspects.labels(service).inc()
+
     def refused(self, service: str, workspace: str) -> None:
         """Count a request that ends without a backend server's answer.
 
@@ -124,10 +138,24 @@
 
 
 async def give(
-    figures: Figures, exchange: http1.Exchange, req: http1.Request
+    figures: Figures,
+    exchange: http1.Exchange,
+    req: http1.Request,
+    *,
+    listing: Callable[[], bytes],
 ) -> None:
-    """Answer a collector."""
-    del req
+    """Answer a collector, or an operator.
+
+    :param listing: tells which requests are suspect.
+    """
+    if req.target.partition(b"?")[0] == LISTING_PATH:
+        await exchange.head(
+            http.HTTPStatus.OK,
+            [(b"Content-Type", b"application/json")],
+            listing(),
+            whole=True,
+        )
+        return
     headers = [(b"Content-Type", b"text/plain; version=0.0.4")]
     await exchange.head(
         http.HTTPStatus.OK, headers, figures.text(), whole=True
--- a/src/lugcross/edge/knowledge.py
+++ b/src/lugcross/edge/knowledge.py
@@ -14,6 +14,8 @@
 from lugcross import clock as clock_lib
 from lugcross import desired
 from lugcross.edge import answers as answers_lib
+from lugcross.edge import casenews
+from lugcross.edge import casestore
 from lugcross.edge import follow
 from lugcross.edge import lag as lag_lib
 from lugcross.edge import messages
@@ -55,10 +57,12 @@
         store: platform.StoreClient,
         *,
         clock: clock_lib.Clock,
+        rng: random.Random,
     ) -> None:
         self._settings = settings
         self._world = world
         self._store = store
+        self._rng = rng
         self._incarnation = ids.new_token()
         self._leaving = False
         self._clock = clock
@@ -78,6 +82,10 @@
         self.seen_broken: Callable[[], list[desired.BackendKey]] = list
         #: Backend servers that this process knows to hold their groups back.
         self.seen_slow: Callable[[], list[desired.BackendKey]] = list
+        ledger = world.endings.ledger
+        self._cases = casenews.CaseNews(ledger, clock)
+        self._case_store = casestore.CaseStore(ledger, store, clock)
+        world.endings.found = self._case_store.keep
         self.trouble = follow.Trouble(clock)
         self.answers = answers_lib.Answers(clock)
         self._lags = {
@@ -92,6 +100,9 @@
             clock=clock,
         )
         world.known_peers = self.peers.known
+        world.endings.changed = functools.partial(
+            self.peers.changed, urgent=True
+        )
         self.news = news_lib.News(
             settings,
             world,
@@ -99,6 +110,7 @@
             adopt=functools.partial(self._adopt, urgent=False),
             unread=lambda: self.trouble.now or self.rests(),
             clock=clock,
+            rng=rng,
         )
         self._server = questions.StateServer(self.news.answer)
 
@@ -120,6 +132,7 @@
             tasks.create_task(self.peers.run())
             tasks.create_task(self._register())
             tasks.create_task(self.news.run())
+            tasks.create_task(self._case_store.run())
 
     def leave(self) -> None:
         """Tell the peers that this process is being stopped."""
@@ -245,6 +258,7 @@
             desired_ms=self._answered_ms(platform.OPERATOR_TOPIC),
             backends_ms=self._answered_ms(platform.BACKENDS_TOPIC),
             slow=[str(key) for key in self.seen_slow()],
+            suspects=self._cases.tell(),
         )
 
     def _answered_ms(self, topic: str) -> int:
@@ -269,6 +283,7 @@
         self._world.outages.told(beat.node, broken)
         slow = [desired.BackendKey(key) for key in beat.slow]
         self._world.slow.told(beat.node, slow)
+        self._cases.hear(beat.suspects)
         self.heard_generation(experts.Generation(beat.generation))
         self._lags[platform.OPERATOR_TOPIC].heard(beat.version)
         self._lags[platform.BACKENDS_TOPIC].heard(beat.end)
@@ -290,7 +305,7 @@
                 tail = await self._store.newest(platform.NODES_TOPIC)
             except errors.PlatformError as exc:
                 logging.warning("not registered", extra={"why": str(exc)})
-                await asyncio.sleep(_REGISTER_S * random.uniform(0.5, 1.0))
+                await asyncio.sleep(_REGISTER_S * self._rng.uniform(0.5, 1.0))
                 continue
             values = [record.value for record in tail.records]
             for found in peers_lib.node_addresses(values):
--- a/src/lugcross/edge/messages.py
+++ b/src/lugcross/edge/messages.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from lugcross.edge import patches
+from lugcross import suspects
 
 #: Requests in progress: far more than one process could have.
 _Count = Annotated[int, msgspec.Meta(ge=0, le=1_000_000)]
@@ -15,6 +16,44 @@
 #: tells no more than none does.
 AGE_MOST_MS = 60_000
 _AgeMs = Annotated[int, msgspec.Meta(ge=-1, le=AGE_MOST_MS)]
+#: The same of what speaks against a request; older has lapsed.
+LAPSE_MS = int(suspects.LAPSE.total_seconds() * 1000)
+_LapseMs = Annotated[int, msgspec.Meta(ge=-1, le=LAPSE_MS)]
+_Request = Annotated[
+    bytes, msgspec.Meta(min_length=suspects.SIZE, max_length=suspects.SIZE)
+]
+#: Longest name of a server's life, and of its software, in characters.
+_NAME_MOST = 200
+_Name = Annotated[str, msgspec.Meta(max_length=_NAME_MOST)]
+
+
+@final
+class ServerEnd(msgspec.Struct, frozen=True, array_like=True):
+    """A server that ended while it ran a request.
+
+    :param ago_ms: how long ago.
+    :param ran_ms: how long the request had run there.
+    """
+
+    server: _Name
+    software: _Name
+    ago_ms: Annotated[int, msgspec.Meta(ge=0, le=LAPSE_MS)]
+    ran_ms: Annotated[int, msgspec.Meta(ge=0, le=LAPSE_MS)]
+
+
+@final
+class Suspect(msgspec.Struct, frozen=True, array_like=True):
+    """What speaks for and against one request.
+
+    :param cleared_ms: how long ago it ran to its end; less than 0 if it has
+        not.
+    """
+
+    request: _Request
+    ends: Annotated[
+        list[ServerEnd], msgspec.Meta(max_length=suspects.ENDS_MOST)
+    ]
+    cleared_ms: _LapseMs = -1
 
 
 @final
@@ -41,6 +80,8 @@
         state; less than 0 if it has not for a minute.
     :param backends_ms: the same about the list of backend servers.
     :param slow: backend servers that hold their groups back.
+    :param suspects: requests under which servers have ended, as far as the
+        sender knows; some of them in each datagram.
     """
 
     node: str
@@ -62,6 +103,7 @@
     desired_ms: _AgeMs = -1
     backends_ms: _AgeMs = -1
     slow: list[str] = []
+    suspects: list[Suspect] = []
 
 
 @final
@@ -131,8 +173,8 @@
     """
     raw = cbor2.loads(data)
     if isinstance(raw, list) and len(raw) == _PASSED_FIELDS:
-        return msgspec.convert(raw, PassedOn)
-    return msgspec.convert(raw, Beat)
+        return msgspec.convert(raw, PassedOn, builtin_types=(bytes,))
+    return msgspec.convert(raw, Beat, builtin_types=(bytes,))
 
 
 def decode_ask(frame: str | bytes) -> Ask:
--- a/src/lugcross/edge/news.py
+++ b/src/lugcross/edge/news.py
@@ -48,13 +48,14 @@
         adopt: Callable[[bytes], None],
         unread: Callable[[], bool],
         clock: clock_lib.Clock,
+        rng: random.Random,
     ) -> None:
         self._settings = settings
         self._world = world
         self._peers = peers
         self._adopt = adopt
         self._unread = unread
-        self.questions = catchup.Questions(clock, random.Random())
+        self.questions = catchup.Questions(clock, rng)
 
     def answer(self, ask: messages.Ask) -> messages.State:
         """Return what this process knows beyond ``ask``."""
--- a/src/lugcross/edge/pool.py
+++ b/src/lugcross/edge/pool.py
@@ -49,14 +49,20 @@
         self._idle: dict[desired.BackendKey, list[_Idle]] = {}
 
     async def take(
-        self, backend: desired.Backend, *, once: bool = False
+        self,
+        backend: desired.Backend,
+        *,
+        once: bool = False,
+        fresh: bool = False,
     ) -> http1.ClientConn:
         """Return a connection to ``backend``.
 
         :param once: whether what is sent on it must not be repeated.
+        :param fresh: whether it must be a new one, which shows that the
+            server lives.
         :raises http1.NoConnectionError: when none came up.
         """
-        idle = self._idle.get(backend.key, [])
+        idle = [] if fresh else self._idle.get(backend.key, [])
         now = self._clock.monotonic()
         while idle:
             if once and now - idle[-1].since > _REST_ONCE:
--- a/src/lugcross/edge/refusal.py
+++ b/src/lugcross/edge/refusal.py
@@ -81,6 +81,20 @@
     return _not_run(what, max(RETRY_AFTER, left * _BROKEN_PART))
 
 
+def ends_servers(ends: int, lapses: datetime.timedelta) -> RefusedError:
+    """Return a refusal of a request under which servers have ended.
+
+    :param ends: how many.
+    :param lapses: time after which it may be tried anew.
+    """
+    return RefusedError(
+        http.HTTPStatus.SERVICE_UNAVAILABLE,
+        f"{ends} backend servers have ended while they ran this request",
+        remedy="change the request, or have the operator clear it",
+        retry_after=lapses,
+    )
+
+
 def _not_run(what: str, wait: datetime.timedelta) -> RefusedError:
     return RefusedError(
         http.HTTPStatus.SERVICE_UNAVAILABLE,
--- a/src/lugcross/edge/runner.py
+++ b/src/lugcross/edge/runner.py
@@ -16,11 +16,13 @@
 from lugcross.edge import attempt as attempt_lib
 from lugcross.edge import choice
 from lugcross.edge import lifecycle
+from lugcross.edge import plan as plan_lib
 from lugcross.edge import refusal
 from lugcross.edge import world as world_lib
 from lugcross import http1
 from lugcross import ids
 from lugcross import platform
+from lugcross import suspects
 
 _MS = datetime.timedelta(milliseconds=1)
 
@@ -53,7 +55,7 @@
     ) -> None:
         """Answer one request."""
         head = platform.read_caller_head(req.headers)
-        plan: attempt_lib.Plan | None = None
+        plan: plan_lib.Plan | None = None
         try:
             plan = self._plan(req, head)
             await _Run(
@@ -74,7 +76,7 @@
 
     def _plan(
         self, req: http1.Request, head: platform.CallerHead
-    ) -> attempt_lib.Plan:
+    ) -> plan_lib.Plan:
         if self._closed():
             raise refusal.not_ready("this process is being stopped")
         state = self._world.desired
@@ -83,7 +85,7 @@
         route = self._route(state, req)
         workspace = self._workspace(state, route, head)
         wait = min(head.time_left or route.timeout, route.timeout)
-        return attempt_lib.Plan(
+        return plan_lib.Plan(
             req=req,
             head=head,
             route=route,
@@ -128,7 +130,7 @@
     def _log_refusal(
         self,
         head: platform.CallerHead,
-        plan: attempt_lib.Plan | None,
+        plan: plan_lib.Plan | None,
         exc: refusal.RefusedError,
     ) -> None:
         service = plan.service if plan else ""
@@ -158,13 +160,14 @@
                 "request": head.attempt_id,
                 "status": exc.status.value,
                 "why": exc.what,
+                "same": plan.told_fingerprint if plan else None,
                 "retry_after_ms": None if wait is None else round(wait / _MS),
                 **inputs,
             },
         )
 
     def _share(
-        self, plan: attempt_lib.Plan, picture: admission.Picture
+        self, plan: plan_lib.Plan, picture: admission.Picture
     ) -> dict[str, object]:
         """Return for a log line what the request's workspace may have."""
         if plan.space is None:
@@ -187,7 +190,7 @@
         world: world_lib.World,
         clock: clock_lib.Clock,
         exchange: http1.Exchange,
-        plan: attempt_lib.Plan,
+        plan: plan_lib.Plan,
         changed: Callable[[], None],
         rng: random.Random,
     ) -> None:
@@ -198,6 +201,10 @@
         self._changed = changed
         self._answer = attempt_lib.Delivery(exchange, plan, clock)
         self._tried: set[desired.BackendKey] = set()
+        #: Whether the last attempt's server ended its connection.
+        self._cut_off = False
+        #: When the last attempt was sent.
+        self._sent_at = plan.req.at
         self._state = lifecycle.State(
             repeatable=plan.route.repeatable, attempts=plan.route.attempts
         )
@@ -222,6 +229,7 @@
         that were kept waiting hardly any was served, and their callers
         were told so seconds later than they could have been.
         """
+        self._refuse_if_ending()
         back = self._world.returns(self._plan.route.name).is_back(
             self._plan.head.time_left
         )
@@ -231,6 +239,20 @@
             raise self._refusal(found, verdict)
         return found.best.backend
 
+    def _refuse_if_ending(self) -> None:
+        """Refuse what ends the servers that run it, before any ends more.
+
+        Unbounded, one such request that came every 0.2 to 3 s ended 17 to 75
+        servers in 30 s; with this it ends two, or three where servers end
+        for other reasons too.
+        """
+        endings = self._world.endings
+        if endings.standing(self._plan) is not suspects.Standing.REFUSED:
+            return
+        ends = endings.against(self._plan)
+        self._world.figures.suspect_refused(self._plan.service)
+        raise refusal.ends_servers(len(ends), endings.lapses(ends))
+
     def _verdict(
         self, found: choice.Choice | None, *, back: bool
     ) -> str | None:
@@ -263,6 +285,7 @@
                 return
             self._world.figures.attempt(self._plan.service, event.value)
             self._state = lifecycle.after(self._state, event)
+            await self._look_if_ended(event, backend)
             found = self._choose()
             action = lifecycle.decide(
                 self._state,
@@ -283,16 +306,28 @@
             backend,
             self._answer,
             again=self._may_go_on,
+            fresh=self._is_suspect(),
         )
         self._changed()
+        self._sent_at = self._clock.monotonic()
         try:
             event = await attempt.run()
         finally:
             self._changed()
+        self._cut_off = attempt.cut_off
+        if event in (None, lifecycle.Event.FAILED):
+            self._world.endings.answered(self._plan, backend, self._sent_at)
         begun = self._answer.begun
         self._state = dataclasses.replace(self._state, begun=begun)
         return event
 
+    async def _look_if_ended(
+        self, event: lifecycle.Event, backend: desired.Backend
+    ) -> None:
+        """Find out whether a server has ended under this request."""
+        if event is lifecycle.Event.BROKEN and self._cut_off:
+            await self._world.endings.broke(self._plan, backend, self._sent_at)
+
     def _may_go_on(self) -> bool:
         """Tell whether another server is left if this attempt breaks."""
         broken = lifecycle.after(self._state, lifecycle.Event.BROKEN)
@@ -305,13 +340,22 @@
         """
         if not lifecycle.may_send(self._state):
             return False
+        broke = event is lifecycle.Event.BROKEN
+        if not self._world.endings.may_go_again(self._plan, broke=broke):
+            return False
         if not self._state.sent:
             return True
         return self._world.may_repeat(self._plan.service, event)
 
     def _choose(self) -> choice.Choice | None:
+        if self._is_suspect():
+            return self._world.choose_apart(self._plan, self._tried)
         return self._world.choose(self._plan.service, self._tried)
 
+    def _is_suspect(self) -> bool:
+        standing = self._world.endings.standing(self._plan)
+        return standing is suspects.Standing.SUSPECT
+
     async def _give_up(
         self, action: lifecycle.Action, event: lifecycle.Event
     ) -> None:
--- a/src/lugcross/edge/settings.py
+++ b/src/lugcross/edge/settings.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from lugcross import suspects
 from lugcross import yamlfile
 
 
@@ -141,6 +142,22 @@
                 raise ValueError(f"weight of {name!r} must be over 0")
 
 
+@final
+class Suspects(_Strict, frozen=True, kw_only=True):
+    """Requests that end the servers that run them.
+
+    :param cleared: fingerprints, as logs show them, of requests that are
+        never refused for that, whatever speaks against them.
+    """
+
+    cleared: tuple[str, ...] = ()
+
+    def __post_init__(self) -> None:
+        for one in self.cleared:
+            if len(bytes.fromhex(one)) != suspects.SIZE:
+                raise ValueError(f"{one!r} is no fingerprint")
+
+
 @final
 class Settings(_Strict, frozen=True, kw_only=True):
     """Settings of one process.
@@ -157,6 +174,7 @@
     seeds: tuple[str, ...] = ()
     maps: Maps = Maps()
     shares: Shares = Shares()
+    suspects: Suspects = Suspects()
     level: str = "info"
 
 
--- a/src/lugcross/edge/world.py
+++ b/src/lugcross/edge/world.py
@@ -16,11 +16,13 @@
 from lugcross.edge import admission
 from lugcross.edge import backends as backends_lib
 from lugcross.edge import choice
+from lugcross.edge import endings as endings_lib
 from lugcross.edge import figures as figures_lib
 from lugcross.edge import lifecycle
 from lugcross.edge import loads as loads_lib
 from lugcross.edge import outages as outages_lib
 from lugcross.edge import pace as pace_lib
+from lugcross.edge import plan as plan_lib
 from lugcross.edge import pool as pool_lib
 from lugcross.edge import records as records_lib
 from lugcross.edge import serving as serving_lib
@@ -28,6 +30,7 @@
 from lugcross.edge import uses as uses_lib
 from lugcross import ids
 from lugcross import routing
+from lugcross import suspects
 
 #: Part of the repeat budget that refused requests may use.
 _REFUSED_PART = 0.5
@@ -93,8 +96,14 @@
         self.slow = outages_lib.Outages(clock)
         self.pool = pool_lib.Pool(clock)
         self.figures = figures_lib.Figures()
+        self.endings = endings_lib.Endings(clock, software=self.software)
+        self.endings.exempt = _exempt(settings.suspects)
         self._serving: dict[ids.ServiceName, _Cached] = {}
 
+    def software(self, service: ids.ServiceName) -> frozenset[str]:
+        """Return the versions that servers of ``service`` run now."""
+        return frozenset(one.software for one in self.backends.of(service))
+
     @property
     def version(self) -> int:
         """Version of the desired state in force; 0 without one."""
@@ -117,12 +126,12 @@
         )
         return True
 
-    def allow(
-        self, bounds: settings_lib.Bounds, shares: settings_lib.Shares
-    ) -> None:
-        """Go by other bounds and shares from now on."""
+    def allow(self, settings: settings_lib.Settings) -> None:
+        """Go by other bounds, shares and exemptions from now on."""
+        bounds = settings.bounds
         self.bounds = bounds
-        self.uses.weights = shares.weights
+        self.uses.weights = settings.shares.weights
+        self.endings.exempt = _exempt(settings.suspects)
         for budget in self._budgets.values():
             budget.allow(
                 ratio=bounds.repeat_ratio,
@@ -251,6 +260,33 @@
             return self._choose(servers.all, tried)
         return found
 
+    def choose_apart(
+        self,
+        plan: plan_lib.Plan,
+        tried: Collection[desired.BackendKey],
+    ) -> choice.Choice | None:
+        """Return where a suspect should go, apart from other suspects."""
+        servers = self.serving(plan.service).all
+        usual = self._choose(servers, tried)
+        free = {
+            one.key: one
+            for one, busy in zip(
+                servers,
+                self.loads.busy_each(one.key for one in servers),
+                strict=True,
+            )
+            if busy < one.slots
+            and one.key not in tried
+            and not self.loads.ejected(one.key)
+        }
+        key = self.endings.place(plan, list(free))
+        if usual is None or key is None:
+            return usual
+        return choice.Choice(
+            choice.Candidate(backend=free[key], busy=self.loads.busy(key)),
+            usual.least,
+        )
+
     def _choose(
         self,
         servers: Sequence[desired.Backend],
@@ -299,6 +335,16 @@
 
     def sweep(self) -> None:
         """Forget what belongs to backend servers that are gone."""
+        self.endings.forget_old()
         known = {one.key for one in self.backends.all()}
         self.pool.sweep(known)
         self.loads.keep_only(known)
+
+
+def _exempt(
+    cfg: settings_lib.Suspects,
+) -> frozenset[suspects.Fingerprint]:
+    """Return the requests that the operators have cleared."""
+    return frozenset(
+        suspects.Fingerprint(bytes.fromhex(one)) for one in cfg.cleared
+    )
--- a/src/lugcross/http1/client.py
+++ b/src/lugcross/http1/client.py
@@ -36,6 +36,11 @@
 class NoConnectionError(errors.LugcrossError):
     """No connection came up, so that nothing was sent."""
 
+    @property
+    def refused(self) -> bool:
+        """Whether the host said that nobody listens there."""
+        return isinstance(self.__cause__, ConnectionRefusedError)
+
 
 class BrokenError(errors.LugcrossError):
     """A connection that broke once a request may have been read."""
--- a/src/lugcross/platform/__init__.py
+++ b/src/lugcross/platform/__init__.py
@@ -23,6 +23,7 @@
 from lugcross.platform.state import OPERATOR_TOPIC
 from lugcross.platform.state import read_backend
 from lugcross.platform.state import read_desired
+from lugcross.platform.state import SUSPECTS_TOPIC
 from lugcross.platform.store import KeyedRecord
 from lugcross.platform.store import StoreClient
 from lugcross.platform.store import Tail
@@ -36,6 +37,7 @@
     "OPERATOR_TOPIC",
     "PROMISES",
     "RETRY_AFTER",
+    "SUSPECTS_TOPIC",
     "AnswerHead",
     "CallerHead",
     "EngineError",
--- a/src/lugcross/platform/state.py
+++ b/src/lugcross/platform/state.py
@@ -26,6 +26,8 @@
 NODES_TOPIC = "keyed.lugcross.nodes"
 #: Topic of the system's own, with the lease of each duty.
 LEASES_TOPIC = "keyed.lugcross.leases"
+#: Requests that are refused since servers have ended under them.
+SUSPECTS_TOPIC = "keyed.lugcross.suspects"
 
 _KINDS = {
     "safe": desired.Kind.SAFE,
@@ -177,6 +179,7 @@
             domain=ids.DomainName(raw.zone),
             slots=raw.slots,
             state=_STATES[raw.state],
+            software=raw.version,
         )
     except _UNREADABLE as exc:
         raise errors.ChangeError(
--- /dev/null
+++ b/src/lugcross/suspects/apart.py
@@ -0,0 +1,34 @@
+# SPDX-License-Identifier: Apache-2.0
+"""Which server tries a suspect, alike at every process.
+
+Suspects of the same two ends are tried once more, each at a server of its
+own: whichever of those ends, tells the one request to blame. Copies of one
+suspect that come to several processes at once meet at one server, so that they
+end one and not several.
+"""
+
+from collections.abc import Collection
+from collections.abc import Sequence
+
+from lugcross import routing
+from lugcross.suspects import identity
+
+
+def place(
+    request: identity.Fingerprint,
+    rivals: Collection[identity.Fingerprint],
+    servers: Sequence[str],
+) -> str | None:
+    """Return the server of ``servers`` that a suspect should go to.
+
+    :param rivals: other suspects with as much against them, which get a
+        server of their own as long as there are any.
+    """
+    free = list(servers)
+    for one in sorted({*rivals, request}):
+        found = routing.first(one.hex(), free or servers)
+        if one == request:
+            return found
+        if found in free:
+            free.remove(found)
+    return None
--- a/testing/edge/test_claimants.py
+++ b/testing/edge/test_claimants.py
@@ -32,7 +32,7 @@
         )
         store = platform.StoreClient("h:1", timeout=1000 * MS)
         self.known = knowledge_lib.Knowledge(
-            settings, world, store, clock=self.clock
+            settings, world, store, clock=self.clock, rng=edge_rig.new_rng()
         )
 
     def hear(
--- a/testing/edge/test_ending_requests.py
+++ b/testing/edge/test_ending_requests.py
@@ -13,9 +13,15 @@
 """
 
 import asyncio
+from collections.abc import Callable
+from collections.abc import Coroutine
 import itertools
+import random
+from typing import Any
 
+import edge_rig
 import ending_rig
+import pytest
 import virtual_time
 
 #: Until every process has read the store and heard of the others, s.
@@ -25,10 +31,35 @@
 ENDING = b"ends who runs it"
 
 
-def _play(monkeypatch, seed: int, gap_s: float, attempts: int):
-    """Let the request come again every ``gap_s`` for half a minute."""
+#: Moments at which faults strike, in seconds from the first try: just before
+#: and after the ends that decide.
+MOMENTS = (0.0, 0.15, 0.3, 1.2)
+
+
+def _come_again(
+    fleet: ending_rig.Fleet, gap_s: float, seconds: float
+) -> Coroutine[Any, Any, None]:
+    """Let the request come to processes drawn at random."""
+
+    async def come() -> None:
+        for _ in range(int(seconds / gap_s)):
+            await asyncio.sleep(gap_s * fleet.rng.uniform(0.5, 1.5))
+            fleet.ask(fleet.rng.choice(list(fleet.nodes)), ENDING)
+
+    return come()
 
-    async def main():
+
+def _run(
+    monkeypatch,
+    day: Callable[[ending_rig.Fleet], Coroutine[Any, Any, None]],
+    *,
+    seed: int = 1,
+    attempts: int = 2,
+) -> ending_rig.Fleet:
+    """Play a day in a fleet of five processes and ten servers."""
+
+    async def main() -> ending_rig.Fleet:
+        random.seed(seed)
         fleet = ending_rig.Fleet(
             monkeypatch, 3, 2, servers=10, attempts=attempts, seed=seed
         )
@@ -36,9 +67,7 @@
         fleet.start()
         await asyncio.sleep(SETTLED_S)
         with fleet.under_load(LOAD):
-            for _ in range(int(30 / gap_s)):
-                await asyncio.sleep(gap_s * fleet.rng.uniform(0.5, 1.5))
-                fleet.ask(fleet.rng.choice(list(fleet.nodes)), ENDING)
+            await day(fleet)
         await asyncio.sleep(2 * ending_rig.WORK_S)
         await fleet.stop()
         return fleet
@@ -46,6 +75,26 @@
     return virtual_time.run(main())
 
 
+def _play(
+    monkeypatch, seed: int, gap_s: float, attempts: int
+) -> ending_rig.Fleet:
+    """Let the request come again every ``gap_s`` for half a minute."""
+    return _run(
+        monkeypatch,
+        lambda fleet: _come_again(fleet, gap_s, 30.0),
+        seed=seed,
+        attempts=attempts,
+    )
+
+
+def _refused_innocents(fleet: ending_rig.Fleet) -> list[bytes]:
+    return [
+        one.body
+        for one in fleet.answers
+        if one.body != ENDING and b"have ended while" in one.text
+    ]
+
+
 def test_request_that_ends_servers_is_stopped(monkeypatch):
     ended = {}
     late = {}
@@ -55,3 +104,85 @@
         late[play] = fleet.sends_after_third(ENDING)
     assert max(ended.values()) <= 3, ended
     assert not any(late.values()), late
+
+
+def test_who_ran_beside_it_is_not_refused(monkeypatch):
+    for seed in (3, 4, 5):
+        fleet = _play(monkeypatch, seed, 1.0, 4)
+        assert _refused_innocents(fleet) == []
+
+
+def test_process_that_saw_it_may_be_killed_at_any_moment(monkeypatch):
+    for moment, seed in itertools.product(MOMENTS, (1, 2)):
+
+        async def day(fleet: ending_rig.Fleet, moment=moment) -> None:
+            fleet.ask("n0-0", ENDING)
+            await asyncio.sleep(moment)
+            await fleet.restart("n0-0")
+            await _come_again(fleet, 0.5, 15.0)
+
+        fleet = _run(monkeypatch, day, seed=seed)
+        assert len(fleet.ends_of(ENDING)) <= 3
+        assert fleet.sends_after_third(ENDING) == 0
+
+
+def test_process_that_was_cut_off_learns_of_it(monkeypatch):
+    """Cut off it ends as many as one that knows nothing, and then no more."""
+
+    async def day(fleet: ending_rig.Fleet) -> None:
+        fleet.cut_off("n1-1")
+        await _come_again(fleet, 0.5, 8.0)
+        fleet.reach_again("n1-1")
+        await asyncio.sleep(edge_rig.BOUNDS.contact.total_seconds())
+        before = len(fleet.sends)
+        for name in fleet.nodes:
+            fleet.ask(name, ENDING)
+        await asyncio.sleep(1.0)
+        late = [one for one in fleet.sends[before:] if one.body == ENDING]
+        assert late == []
+
+    fleet = _run(monkeypatch, day)
+    assert len(fleet.ends_of(ENDING)) <= 6
+
+
+def test_copies_at_all_processes_at_once_end_one_server_more(monkeypatch):
+    """What nobody has heard of ends a server each; then one for all."""
+
+    async def day(fleet: ending_rig.Fleet) -> None:
+        for name in fleet.nodes:
+            fleet.ask(name, ENDING)
+        await asyncio.sleep(1.0)
+        await _come_again(fleet, 0.5, 15.0)
+
+    for seed in (1, 2, 3):
+        fleet = _run(monkeypatch, day, seed=seed, attempts=4)
+        assert len(fleet.ends_of(ENDING)) <= len(fleet.nodes) + 1
+        assert fleet.sends_after_third(ENDING) == 0
+
+
+def test_all_processes_lose_power_at_once(monkeypatch):
+    async def day(fleet: ending_rig.Fleet) -> None:
+        await _come_again(fleet, 0.5, 8.0)
+        await fleet.lose_power()
+        await asyncio.sleep(SETTLED_S)
+        await _come_again(fleet, 0.5, 8.0)
+
+    for seed in (1, 2, 3):
+        fleet = _run(monkeypatch, day, seed=seed)
+        assert len(fleet.ends_of(ENDING)) <= 3
+
+
+@pytest.mark.parametrize(("gap_s", "most"), [(1.0, 1), (4.0, 4), (6.0, 10)])
+def test_servers_that_end_by_themselves_get_nobody_refused(
+    monkeypatch, gap_s, most
+):
+    for seed in (1, 2):
+
+        async def day(fleet: ending_rig.Fleet) -> None:
+            crashes = asyncio.create_task(fleet.crashes(gap_s, most))
+            await asyncio.sleep(25.0)
+            crashes.cancel()
+
+        fleet = _run(monkeypatch, day, seed=seed, attempts=4)
+        assert len(fleet.ends_at) > most
+        assert _refused_innocents(fleet) == []
--- a/testing/edge/test_knowledge.py
+++ b/testing/edge/test_knowledge.py
@@ -58,7 +58,11 @@
             store, timeout=datetime.timedelta(seconds=30)
         )
         self.knowledge = knowledge_lib.Knowledge(
-            settings, self.world, self.client, clock=clock
+            settings,
+            self.world,
+            self.client,
+            clock=clock,
+            rng=edge_rig.new_rng(),
         )
 
 
--- a/testing/edge/test_reload.py
+++ b/testing/edge/test_reload.py
@@ -87,5 +87,5 @@
     now = rig.clock.monotonic()
     while budget.spend(now):
         pass
-    rig.world.allow(edge_rig.BOUNDS, settings_lib.Shares())
+    rig.world.allow(edge_rig.settings())
     assert not rig.world.budget(service).spend(now)
--- a/testing/support/ending_rig.py
+++ b/testing/support/ending_rig.py
@@ -10,6 +10,7 @@
 import contextlib
 import dataclasses
 import datetime
+import http
 import itertools
 import json
 import random
@@ -33,6 +34,9 @@
 SLOTS = 6
 _WAY_S = 0.001
 _SERVER_PORT = 80
+#: How often an ordinary caller tries, and when it comes back, in seconds.
+_TRIES = 3
+_BACK_AFTER_S = (0.2, 1.0)
 _KEYS = ("key-a", "key-b", "key-c")
 
 
@@ -84,7 +88,6 @@
 
     at: float
     body: bytes
-    node: str
     server: str
 
 
@@ -104,11 +107,10 @@
     closing = False
     pending = False
 
-    def __init__(self, fleet: "Fleet", server: Server, node: str) -> None:
+    def __init__(self, fleet: "Fleet", server: Server) -> None:
         self._fleet = fleet
         self._server = server
         self._life = server.name
-        self._node = node
         self.reusable = True
 
     def unheard(self) -> bool:
@@ -124,9 +126,11 @@
         server = self._server
         if not server.up or server.name != self._life:
             raise self._broken()
+        if self._headers[b"expected-instance"].decode() != server.name:
+            return self._answer(421, (b"not-executed", b"1"))
         if server.running >= SLOTS:
             return self._answer(503, (b"not-executed", b"1"))
-        self._fleet.reached(self._body, self._node, server)
+        self._fleet.reached(self._body, server)
         ended = server.ended
         server.running += 1
         try:
@@ -189,7 +193,8 @@
         self.ends_at: list[tuple[float, str]] = []
         self.answers: list[Answer] = []
         self._ids = itertools.count()
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._ordinary: set[asyncio.Task[None]] = set()
+        self._tasks: dict[str, set[asyncio.Task[Answer]]] = {}
         self.rng = random.Random(seed)
         self.servers = [Server(place) for place in range(servers)]
         self._by_host = {one.host: one for one in self.servers}
@@ -230,6 +235,24 @@
         )
         loop.call_later(BACK_S, self._begin, server)
 
+    async def crashes(self, gap_s: float, most: int) -> None:
+        """End some servers again and again, whatever they run."""
+        while True:
+            await asyncio.sleep(gap_s * self.rng.uniform(0.5, 1.5))
+            for one in self.rng.sample(self.servers, most):
+                self.end(one)
+
+    async def restart(self, name: str) -> None:
+        """Kill a process with all that it carries, and start it again."""
+        for task in list(self._tasks.get(name, ())):
+            task.cancel()
+        await super().restart(name)
+
+    async def lose_power(self) -> None:
+        """Start all processes anew, knowing nothing of before."""
+        for name in list(self.nodes):
+            await self.restart(name)
+
     def ends(self, body: bytes) -> bool:
         """Tell whether a request ends who runs it."""
         return body in self.ending
@@ -238,10 +261,10 @@
         """Return how long a request runs."""
         return ENDS_AFTER_S if self.ends(body) else WORK_S
 
-    def reached(self, body: bytes, node: str, server: Server) -> None:
+    def reached(self, body: bytes, server: Server) -> None:
         """Note that a server has begun a request."""
         now = asyncio.get_running_loop().time()
-        self.sends.append(Send(now, body, node, server.name))
+        self.sends.append(Send(now, body, server.name))
 
     async def _connect(self, host: str, port: int, *, timeout_s: float):
         server = self._by_host.get(host)
@@ -251,15 +274,16 @@
         if not server.up:
             refused = ConnectionRefusedError("refused")
             raise http1.NoConnectionError("refused", remedy="-") from refused
-        return _Conn(self, server, "")
+        return _Conn(self, server)
 
     def ask(self, node: str, body: bytes, key: str = _KEYS[0]) -> None:
         """Send a request to a process; its answer comes to ``answers``."""
-        task = asyncio.create_task(self._ask(node, body, key))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        task = asyncio.create_task(self._carry(node, body, key))
+        mine = self._tasks.setdefault(node, set())
+        mine.add(task)
+        task.add_done_callback(mine.discard)
 
-    async def _ask(self, name: str, body: bytes, key: str) -> None:
+    async def _carry(self, name: str, body: bytes, key: str) -> Answer:
         clock = virtual_time.LoopClock()
         node = self.nodes[name]
         headers = [
@@ -286,6 +310,16 @@
         )
         await runner.handle(_Exchange(answer), req)
         self.answers.append(answer)
+        return answer
+
+    async def _come_back(self, name: str, body: bytes, key: str) -> None:
+        """Send an ordinary request again until it is served."""
+        for _ in range(_TRIES):
+            answer = await self._carry(name, body, key)
+            if answer.status == http.HTTPStatus.OK:
+                return
+            await asyncio.sleep(self.rng.uniform(*_BACK_AFTER_S))
+            name = self.rng.choice(list(self.nodes))
 
     async def ordinary_load(self, per_s: float) -> None:
         """Send ordinary requests to all processes until cancelled."""
@@ -293,7 +327,11 @@
             await asyncio.sleep(self.rng.expovariate(per_s))
             name = self.rng.choice(list(self.nodes))
             key = self.rng.choice(_KEYS)
-            self.ask(name, b"ordinary %d" % num, key)
+            task = asyncio.create_task(
+                self._come_back(name, b"ordinary %d" % num, key)
+            )
+            self._ordinary.add(task)
+            task.add_done_callback(self._ordinary.discard)
 
     @contextlib.contextmanager
     def under_load(self, per_s: float) -> Iterator[None]:
--- a/testing/support/fleet_rig.py
+++ b/testing/support/fleet_rig.py
@@ -99,14 +99,13 @@
             bounds=edge_rig.BOUNDS,
         )
         clock = virtual_time.LoopClock()
-        self.world = world_lib.World(
-            settings, clock=clock, rng=random.Random(name)
-        )
+        rng = random.Random(name)
+        self.world = world_lib.World(settings, clock=clock, rng=rng)
         self.store = platform.StoreClient(
             f"{self.way}:1", timeout=app.STORE_TIMEOUT
         )
         self.knowledge = knowledge_lib.Knowledge(
-            settings, self.world, self.store, clock=clock
+            settings, self.world, self.store, clock=clock, rng=rng
         )
         self.knowledge.peers.connection_made(self)
 
