Count the time of a suspension in ages and timers

Cause: the steady clock stands still while a machine is suspended, so that leases, lists and peers' news of before were taken for young afterwards. Ruled out: the time of day, which may jump either way. Change: SystemClock and the edge process's event loop go by CLOCK_BOOTTIME; explain tells the other tries of a request; false news of ends are fuzzed.

--- a/src/lugcross/clock.py
+++ b/src/lugcross/clock.py
@@ -1,6 +1,7 @@
 # SPDX-License-Identifier: Apache-2.0
 """Time as an interface, so that decisions can be tested at any moment."""
 
+import asyncio
 import datetime
 import time
 from typing import final
@@ -20,6 +21,29 @@
         """Return a time that never runs backwards."""
 
 
+def boot_s() -> float:
+    """Return the seconds since the machine was started.
+
+    The steady clock stands still while a machine is suspended. Counted by it,
+    what was believed before, a lease, a list or a peer's news, would be as
+    young after ten seconds of that as before them.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+@final
+class BootLoop(asyncio.SelectorEventLoop):
+    """An event loop whose timers are due also after a suspension.
+
+    A wait that has begun goes on by the steady clock, until the next event;
+    all that is due by then is done at once.
+    """
+
+    def time(self) -> float:
+        """Return the time that timers go by."""
+        return boot_s()
+
+
 @final
 class SystemClock:
     """The clock of the machine."""
@@ -28,7 +52,7 @@
         return datetime.datetime.now(datetime.UTC)
 
     def monotonic(self) -> Instant:
-        return datetime.timedelta(seconds=time.monotonic())
+        return datetime.timedelta(seconds=boot_s())
 
 
 @final
@@ -63,4 +87,12 @@
     return datetime.timedelta(seconds=value)
 
 
-__all__ = ["Clock", "Instant", "ManualClock", "SystemClock", "seconds"]
+__all__ = [
+    "BootLoop",
+    "Clock",
+    "Instant",
+    "ManualClock",
+    "SystemClock",
+    "boot_s",
+    "seconds",
+]
--- a/src/lugcross/edge/app.py
+++ b/src/lugcross/edge/app.py
@@ -124,7 +124,8 @@
 
     def run(self) -> None:
         """Serve until a stop signal, finish what is held, and return."""
-        asyncio.run(self._main())
+        with asyncio.Runner(loop_factory=clock_lib.BootLoop) as runner:
+            runner.run(self._main())
 
     async def _main(self) -> None:
         loop = asyncio.get_running_loop()
--- a/src/lugcross/observe/story.py
+++ b/src/lugcross/observe/story.py
@@ -4,7 +4,8 @@
 What touched the request comes in order of time; between that, and from
 before it, what the processes that touched it believed: the state that was
 in force, whether they had the store, groups that were broken, maps that
-changed.
+changed. What became of its other tries, wherever they came, is part of it
+where their lines tell that they are one request.
 """
 
 from collections.abc import Iterable
@@ -63,6 +64,11 @@
         """The request that it is about; empty if it is about none."""
         return str(self.fields.get("request", ""))
 
+    @property
+    def same(self) -> str:
+        """What all tries of the request share; empty if not told."""
+        return str(self.fields.get("same") or "")
+
 
 @final
 class Reader:
@@ -114,6 +120,12 @@
     own = [line for line in ordered if line.request == request]
     if not own:
         return []
+    shared = {line.same for line in own if line.same}
+    tries = [
+        line
+        for line in ordered
+        if line.same in shared and line.request != request
+    ]
     nodes = {line.node for line in own}
     beliefs = [
         line
@@ -122,7 +134,8 @@
     ]
     before = _last_of_each(beliefs, own[0].at)
     during = [one for one in beliefs if own[0].at <= one.at <= own[-1].at]
-    return sorted([*before, *own, *during], key=lambda line: line.at)
+    found = [*before, *own, *tries, *during]
+    return sorted(found, key=lambda line: line.at)
 
 
 def _last_of_each(lines: Sequence[Line], until: float) -> list[Line]:
--- a/testing/edge/test_foreign_bytes.py
+++ b/testing/edge/test_foreign_bytes.py
@@ -9,7 +9,10 @@
 import msgspec
 import pytest
 
+from lugcross import clock as clock_lib
+from lugcross.edge import casenews
 from lugcross.edge import messages
+from lugcross import suspects
 
 VALUES = strategies.recursive(
     strategies.none()
@@ -80,6 +83,53 @@
     _read(decode, cbor2.dumps(value))
 
 
+@given(value=VALUES, end=VALUES, field=strategies.integers(0, 2))
+def test_bad_suspects_are_refused_and_change_nothing(value, end, field):
+    suspect = [b"x" * 16, [["i-1", "v1", 5, 5]], -1]
+    suspect[field] = end if field == 1 else value
+    fields = cbor2.loads(messages.encode(BEAT))
+    fields[-1] = [suspect]
+    try:
+        beat = messages.decode_datagram(cbor2.dumps(fields))
+    except msgspec.ValidationError:
+        return
+    ledger = suspects.Ledger()
+    clock = clock_lib.ManualClock()
+    casenews.CaseNews(ledger, clock).hear(beat.suspects)
+    sound = suspects.Fingerprint(b"y" * suspects.SIZE)
+    now = clock.monotonic()
+    standing = ledger.standing(sound, frozenset(["v1"]), now)
+    assert standing is suspects.Standing.FREE
+
+
+def test_false_news_of_ends_end_with_the_next_answer():
+    """A peer tells that servers ended which answer: nobody is refused."""
+    clock = clock_lib.ManualClock()
+    ledger = suspects.Ledger()
+    news = casenews.CaseNews(ledger, clock)
+    request = suspects.Fingerprint(b"y" * suspects.SIZE)
+    ends = [messages.ServerEnd(f"i-{num}", "v1", 0, 5) for num in range(4)]
+    told = messages.Suspect(request, ends)
+    news.hear([told])
+    clock.advance(clock_lib.seconds(1))
+    for num in range(4):
+        ledger.answered(f"i-{num}", clock.monotonic())
+    clock.advance(clock_lib.seconds(1))
+    news.hear(
+        [
+            messages.Suspect(
+                request,
+                [
+                    messages.ServerEnd(one.server, "v1", 2000, 5)
+                    for one in ends
+                ],
+            )
+        ]
+    )
+    standing = ledger.standing(request, frozenset(["v1"]), clock.monotonic())
+    assert standing is suspects.Standing.FREE
+
+
 @given(
     place=strategies.integers(
         min_value=0, max_value=len(BEAT.__struct_fields__) - 1
--- a/testing/observe/test_story.py
+++ b/testing/observe/test_story.py
@@ -44,6 +44,20 @@
     ]
 
 
+def test_story_holds_other_tries_of_the_same_request() -> None:
+    tries = [
+        _text(
+            1.0, "n1", "server ended under a request", request="r1", same="f"
+        ),
+        _text(
+            2.0, "n2", "server ended under a request", request="r2", same="f"
+        ),
+        _text(2.5, "n2", "refused", request="r3", same="other"),
+        _text(3.0, "n3", "refused", request="r4", same="f"),
+    ]
+    assert [at for at, _ in _tell(tries, "r4")] == [1.0, 2.0, 3.0]
+
+
 def test_order_of_the_logs_does_not_matter() -> None:
     assert _tell(LOG[::-1], "r1") == _tell(LOG, "r1")
 
