Tell the end of a server from a reset, and show it over sockets

Cause: a host that once refused a connection though its server lived would have hidden that server's later end; runs of a few milliseconds were never alike. Ruled out by tests: resets by a server that lives, and answers that it failed, count for nothing. Change: an answer takes such a mistake back; differences of 50 ms say nothing; where nothing is known of any request, none is hashed; Retry-After is the time until the oldest end lapses.

--- a/src/lugcross/edge/casestore.py
+++ b/src/lugcross/edge/casestore.py
@@ -23,8 +23,9 @@
 from lugcross import suspects
 
 #: Time between two tries while the store does not answer, in seconds: what
-#: is to be written down is known to all processes meanwhile.
-_AGAIN_S = 1.0
+#: is to be written down is known to all processes meanwhile, and each call
+#: has its price.
+_AGAIN_S = 2.0
 _MS = datetime.timedelta(milliseconds=1)
 
 
--- a/src/lugcross/edge/endings.py
+++ b/src/lugcross/edge/endings.py
@@ -60,7 +60,7 @@
 
     def standing(self, plan: plan_lib.Plan) -> suspects.Standing:
         """Return how a request is to be treated now."""
-        if not len(self.ledger) or plan.fingerprint in self.exempt:
+        if not self._is_known(plan) or plan.fingerprint in self.exempt:
             return suspects.Standing.FREE
         return self.ledger.standing(
             plan.fingerprint,
@@ -70,7 +70,7 @@
 
     def against(self, plan: plan_lib.Plan) -> list[suspects.End]:
         """Return what speaks against a request."""
-        if not len(self.ledger):
+        if not self._is_known(plan):
             return []
         return self.ledger.against(
             plan.fingerprint,
@@ -78,10 +78,22 @@
             self._clock.monotonic(),
         )
 
+    def _is_known(self, plan: plan_lib.Plan) -> bool:
+        """Tell whether there is anything about a request.
+
+        As long as there is nothing about any, none is even hashed.
+        """
+        if not len(self.ledger):
+            return False
+        return self.ledger.find(plan.fingerprint) is not None
+
     def lapses(self, ends: list[suspects.End]) -> datetime.timedelta:
-        """Return the time until the newest of ``ends`` counts no more."""
-        newest = max(one.at for one in ends)
-        return newest + suspects.LAPSE - self._clock.monotonic()
+        """Return the time until the oldest of ``ends`` counts no more.
+
+        Then its request may be tried once more, as a suspect.
+        """
+        oldest = min(one.at for one in ends)
+        return oldest + suspects.LAPSE - self._clock.monotonic()
 
     def may_go_again(self, plan: plan_lib.Plan, *, broke: bool) -> bool:
         """Tell whether a request may go to one more server at once.
@@ -172,6 +184,9 @@
 
         :param since: when it was sent.
         """
+        if self._ended_at.get(backend.key, since) < since:
+            # Its host refused a connection for another reason.
+            del self._ended_at[backend.key]
         if not len(self.ledger):
             return
         self.ledger.answered(backend.key, since)
--- a/src/lugcross/suspects/ledger.py
+++ b/src/lugcross/suspects/ledger.py
@@ -41,6 +41,9 @@
 #: ended two servers: it ends each at the same point, later where that is
 #: fuller, while whatever else runs there may be at any point.
 ALIKE = 0.5
+#: Difference of two runs that says nothing: the ways there and back, and a
+#: process that was busy when the connection broke.
+NOISE = datetime.timedelta(milliseconds=50)
 #: How long what speaks against a request is kept. Its callers may try the
 #: software anew then, at the price of two servers' ends each time.
 LAPSE = datetime.timedelta(minutes=10)
@@ -265,7 +268,7 @@
         ends = self.against(request, software, now)
         if not ends:
             return Standing.FREE
-        if len(ends) >= self._most(ends):
+        if len(ends) >= SURE and len(ends) >= self._most(ends):
             return Standing.REFUSED
         return Standing.SUSPECT
 
@@ -292,8 +295,9 @@
 
     def _tells_apart(self, ends: Collection[End]) -> bool:
         """Tell whether only one request explains why servers ended."""
-        runs = [one.ran for one in ends]
-        if min(runs) < ALIKE * max(runs):
+        shortest = min(one.ran for one in ends)
+        longest = max(one.ran for one in ends)
+        if shortest < ALIKE * longest and longest - shortest > NOISE:
             return False
         servers = {one.server for one in ends}
         cases = (
--- a/testing/support/edge_rig.py
+++ b/testing/support/edge_rig.py
@@ -239,8 +239,8 @@
 class Rig:
     """A runner, its world and the backend servers before it."""
 
-    def __init__(self) -> None:
-        self.clock = clock_lib.SystemClock()
+    def __init__(self, clock: clock_lib.Clock | None = None) -> None:
+        self.clock = clock or clock_lib.SystemClock()
         settings = settings_lib.Settings(
             node="n1",
             domain="d1",
