Count the ends of copies that ran at once as one

Cause: a request that many callers send runs at every server; when a whole fleet went dark, each end counted, and it was refused for ten minutes, since nothing that is refused can be cleared. Ruled out: leaving common requests out by their number (one that ends servers may be sent by many as well). Change: of a request's ends those count whose runs began after the one before.

--- a/src/lugcross/suspects/ledger.py
+++ b/src/lugcross/suspects/ledger.py
@@ -6,7 +6,9 @@
 requests, comes back with it and is innocent. Callers come back after a tenth
 of a second to some seconds; servers are back after some seconds.
 
-A server's end counts once for each request that it ran, whoever saw it. A
+A server's end counts once for each request that it ran, whoever saw it, and
+ends of copies that ran at once count as one: what many callers send is
+everywhere when a whole fleet goes dark, and would be refused for good. A
 request is refused once three servers have ended under it. Two are enough if
 they tell it from all others: no other request was at both, both ended at
 about the same point of its run, and no others ended then that did not run it.
@@ -15,6 +17,7 @@
 """
 
 from collections.abc import Collection
+from collections.abc import Iterable
 import dataclasses
 import datetime
 import enum
@@ -244,7 +247,7 @@
         software: Collection[str],
         now: clock_lib.Instant,
     ) -> list[End]:
-        """Return the ends that speak against a request.
+        """Return the ends that speak against a request, one by one.
 
         :param software: versions that servers of its service run now; what
             another one has done says nothing of them.
@@ -252,11 +255,11 @@
         case = self._cases.get(request)
         if case is None:
             return []
-        return [
+        return _one_by_one(
             one
             for one in case.against
             if one.software in software and one.at > now - LAPSE
-        ]
+        )
 
     def standing(
         self,
@@ -316,3 +319,16 @@
             key=lambda case: (len(case.against), case.newest),
         )
         del self._cases[least.request]
+
+
+def _one_by_one(ends: Iterable[End]) -> list[End]:
+    """Return the ends of which each run began after the one before.
+
+    Times are told by other processes, so that a run may seem to begin a
+    moment before the end that it followed.
+    """
+    found: list[End] = []
+    for one in sorted(ends, key=lambda end: end.at):
+        if not found or one.at - one.ran >= found[-1].at - NOISE:
+            found.append(one)
+    return found
--- a/testing/edge/test_ending_requests.py
+++ b/testing/edge/test_ending_requests.py
@@ -172,6 +172,26 @@
         assert len(fleet.ends_of(ENDING)) <= 3
 
 
+def test_what_many_send_is_not_refused_when_all_servers_end(monkeypatch):
+    """Copies of one request run everywhere, and every server ends at once."""
+    popular = b"what many send"
+
+    async def day(fleet: ending_rig.Fleet) -> None:
+        for num in range(100):
+            await asyncio.sleep(0.1)
+            fleet.ask(fleet.rng.choice(list(fleet.nodes)), popular)
+            if num == 30:
+                for server in fleet.servers:
+                    fleet.end(server)
+        await asyncio.sleep(2.0)
+
+    fleet = _run(monkeypatch, day)
+    assert len(fleet.ends_at) == len(fleet.servers)
+    assert _refused_innocents(fleet) == []
+    late = [one for one in fleet.answers if one.body == popular][-5:]
+    assert [one.status for one in late] == [200] * 5
+
+
 @pytest.mark.parametrize(("gap_s", "most"), [(1.0, 1), (4.0, 4), (6.0, 10)])
 def test_servers_that_end_by_themselves_get_nobody_refused(
     monkeypatch, gap_s, most
--- a/testing/suspects/test_ledger.py
+++ b/testing/suspects/test_ledger.py
@@ -97,6 +97,18 @@
     assert _standing(ledger, A) is suspects.Standing.SUSPECT
 
 
+def test_copies_that_ran_at_once_count_once(ledger):
+    """A request that many send is everywhere when all servers end."""
+    _note(
+        ledger,
+        A,
+        *(end(f"s{num}", 1 + num / 100, ran=0.5) for num in range(8)),
+    )
+    assert _standing(ledger, A) is suspects.Standing.SUSPECT
+    _note(ledger, A, end("t1", 3))
+    assert len(ledger.against(A, SOFTWARE, at(4))) == 2
+
+
 def test_one_server_counts_once_whoever_saw_its_end(ledger):
     for seen in (1.0, 1.2, 4.0):
         _note(ledger, A, end("s1", seen))
