Leave a group alone that breaks at each change of its map

Change: experts.restraint, pure; two lives in a row that end within 2.5 s of their first change rest for 15 s, doubled each time, 10 minutes at most.

--- a/src/lugcross/edge/groups.py
+++ b/src/lugcross/edge/groups.py
@@ -41,6 +41,7 @@
     :param report_lag: age of what its ranks report.
     :param pulse: what its passes take.
     :param slowness: which of its ranks are slow.
+    :param restraint: whether changes of its map break it.
     """
 
     name: str
@@ -68,6 +69,9 @@
     slowness: slowness_lib.Slowness = dataclasses.field(
         default_factory=slowness_lib.Slowness
     )
+    restraint: experts.Restraint = dataclasses.field(
+        default_factory=experts.Restraint
+    )
 
     @property
     def whole(self) -> bool:
--- a/src/lugcross/edge/maps.py
+++ b/src/lugcross/edge/maps.py
@@ -172,7 +172,7 @@
             if group.copying is not None:
                 group.planned_at = seen.at
                 await self._reconsider(group, seen.uses)
-            elif group.ready:
+            elif group.ready and not self._rests(group):
                 group.planned_at = seen.at
                 await self._consider(group, seen.uses)
 
@@ -180,8 +180,10 @@
         now = self._clock.monotonic()
         if not group.members or not group.look_due(now, _LOOK):
             return
-        was_open = group.is_open
+        was_open, epoch = group.is_open, group.epoch
         await self._looks.ask_ranks(group)
+        if was_open and (not group.is_open or group.epoch != epoch):
+            self._note_break(group)
         if group.is_open != was_open:
             self._note_state(group)
         if group.busy or not group.is_open or not group.whole:
@@ -195,6 +197,13 @@
         if group.hold_is_left(now, after):
             self.switches.finish(group)
 
+    def _note_break(self, group: groups_lib.Group) -> None:
+        if group.restraint.broke(self._clock.monotonic()):
+            logging.warning(
+                "group breaks at each change of its map",
+                extra={"group": group.name, "epoch": group.epoch},
+            )
+
     def _note_state(self, group: groups_lib.Group) -> None:
         logging.info(
             "group opened" if group.is_open else "group broken",
@@ -263,4 +272,8 @@
             },
         )
         if worth:
+            group.restraint.began()
             self.switches.change(group, plan)
+
+    def _rests(self, group: groups_lib.Group) -> bool:
+        return group.restraint.rests(self._clock.monotonic())
--- a/src/lugcross/edge/switches.py
+++ b/src/lugcross/edge/switches.py
@@ -91,6 +91,7 @@
             logging.exception("a switch failed", extra={"group": group.name})
         finally:
             group.busy = False
+            group.restraint.ended(self._clock.monotonic())
             group.looked_at = None
             group.hold_seen = None
 
--- a/src/lugcross/experts/__init__.py
+++ b/src/lugcross/experts/__init__.py
@@ -35,6 +35,7 @@
 from lugcross.experts.planner import plan
 from lugcross.experts.planner import Plan
 from lugcross.experts.planner import steps
+from lugcross.experts.restraint import Restraint
 from lugcross.experts.switch import Outcome
 from lugcross.experts.switch import Phase
 from lugcross.experts.switch import Switch
@@ -64,6 +65,7 @@
     "Record",
     "Release",
     "Report",
+    "Restraint",
     "Step",
     "Switch",
     "Verdict",
--- /dev/null
+++ b/src/lugcross/experts/restraint.py
@@ -0,0 +1,71 @@
+# SPDX-License-Identifier: Apache-2.0
+"""How long a group is left alone whose first change of map breaks it.
+
+Load pattern: an order, or a map, ends a rank that takes it. The group stands
+still, forms anew some seconds later with its first map, and whoever has the
+duty plans the same change again: the group would break every few seconds for
+as long as demand stays as it is.
+
+Groups break for other reasons too, also beside a change. Twice in a row just
+after the first change of a life is taken for the change's doing; then the
+group keeps its first map for a while, twice as long each further time.
+"""
+
+import datetime
+from typing import final
+
+from lugcross import clock as clock_lib
+
+#: From the last order of a change until a group that broke of it is seen
+#: broken, at most: some passes, the standstill until ranks say that the group
+#: is broken (1.5 s), and a look (0.5 s).
+SOON = datetime.timedelta(seconds=2.5)
+#: Lives in a row that ended so, from which on the group is left alone.
+IN_A_ROW = 2
+#: First rest: the time in which four jumps of demand pass on the users' days,
+#: so that one rest in vain costs little; doubled each time.
+FIRST = datetime.timedelta(seconds=15)
+#: Longest rest.
+MOST = datetime.timedelta(minutes=10)
+
+
+@final
+class Restraint:
+    """What the lives of one group have shown of changes of its map."""
+
+    def __init__(self) -> None:
+        self._begun = False
+        #: When the first change of this life was over.
+        self._over: clock_lib.Instant | None = None
+        self._in_a_row = 0
+        self._until = datetime.timedelta()
+
+    def began(self) -> None:
+        """Note that a change of map begins; the first of a life counts."""
+        self._begun = True
+
+    def ended(self, now: clock_lib.Instant) -> None:
+        """Note that all orders of a change have been given."""
+        if self._begun and self._over is None:
+            self._over = now
+
+    def broke(self, now: clock_lib.Instant) -> bool:
+        """Note that the group has broken; tell whether it is left alone."""
+        begun, self._begun = self._begun, False
+        over, self._over = self._over, None
+        if not begun:
+            # Changed by nobody in that life, so that it tells nothing.
+            return False
+        if over is not None and now - over > SOON:
+            self._in_a_row = 0
+            return False
+        self._in_a_row += 1
+        more = self._in_a_row - IN_A_ROW
+        if more < 0:
+            return False
+        self._until = now + min(FIRST * 2.0**more, MOST)
+        return True
+
+    def rests(self, now: clock_lib.Instant) -> bool:
+        """Tell whether the group keeps its map for now."""
+        return now < self._until
--- a/testing/edge/test_maps.py
+++ b/testing/edge/test_maps.py
@@ -435,6 +435,34 @@
     run(act)
 
 
+def test_group_that_breaks_at_each_change_is_left_alone():
+    """A rank ends whenever it is told to prepare a map.
+
+    The group formed anew and was told the same again, every round: 60
+    lives in 60 rounds, each ended by its first order.
+    """
+
+    async def act(rig: Rig) -> None:
+        engines = rig.engines
+        obey = engines.order
+
+        async def order(backend, order, epoch, generation):
+            if isinstance(order, experts.Prepare) and engines.is_open:
+                engines.is_open = False
+                engines.group.form()
+                return experts.Verdict.UNKNOWN
+            return await obey(backend, order, epoch, generation)
+
+        engines.order = order
+        for _ in range(60):
+            await rig.rounds(1)
+            await rig.rounds(1)
+            engines.is_open = True
+        assert engines.group.epoch <= 7
+
+    run(act)
+
+
 def test_every_order_carries_the_number_of_the_lease():
     async def act(rig: Rig) -> None:
         rig.duty.number = experts.Generation(4)
