End servers under a request beside real processes

Cause: no test with sockets had a server that ends of what it runs. Ruled out: waiting by time until news have come; the lists of all processes are asked instead. Change: the soak's servers end on such a request and begin a new life at another address; a process that is killed learns of it again. Figures: three kinds of route, two servers end each, at most three are allowed.

--- a/testing/soak/test_soak.py
+++ b/testing/soak/test_soak.py
@@ -25,6 +25,11 @@
 PROCESSES = 3
 SERVERS = 4
 ROUNDS = 4
+#: Servers that may end under one request: two, or three where this machine
+#: is so busy that its runs seem to have ended at other points.
+MOST_ENDS = 3
+#: Time between two looks at what processes list, in seconds.
+_LOOK_S = 0.02
 #: Callers of each process, and requests of each in a round.
 CALLERS = 2
 REQUESTS = 6
@@ -168,6 +173,54 @@
 ]
 
 
+async def _all_list(fleet: soak_fleet.Fleet, ends: int) -> None:
+    """Return once every process lists that many ends of a request."""
+    for one in fleet.processes:
+        while await one.ends_listed() < ends:
+            await asyncio.sleep(_LOOK_S)
+
+
+async def _send_what_ends(
+    fleet: soak_fleet.Fleet, kind: soak_checks.Kind
+) -> list[soak_checks.Call]:
+    """Send it to each process, and to one that has started anew."""
+    calls = []
+    for num, one in enumerate([*fleet.processes, fleet.processes[0]]):
+        if num == len(fleet.processes):
+            await one.start_again(signal.SIGKILL)
+            await fleet.settled()
+            await _all_list(fleet, fleet.ended)
+        caller = soak_fleet.Caller(one.ports["callers"], fleet.history)
+        name = f"ending-{num}"
+        call = await caller.ask(name, kind, last=soak_fleet.ENDING)
+        calls.append(call)
+        caller.close()
+        await _all_list(fleet, fleet.ended)
+    return calls
+
+
+@pytest.mark.parametrize("kind", list(soak_checks.Kind))
+def test_request_that_ends_servers_is_stopped(
+    tmp_path: pathlib.Path, kind: soak_checks.Kind
+):
+    async def main():
+        fleet = soak_fleet.Fleet(
+            tmp_path, processes=PROCESSES, servers=SERVERS
+        )
+        await fleet.start()
+        try:
+            calls = await _send_what_ends(fleet, kind)
+        finally:
+            await fleet.stop()
+        return fleet, calls
+
+    fleet, calls = asyncio.run(main())
+    assert 0 < fleet.ended <= MOST_ENDS
+    assert calls[-1].status == soak_checks.REFUSED
+    assert b"have ended while" in calls[-1].body
+    assert fleet.history.broken() == []
+
+
 @pytest.mark.parametrize(
     "seed", sorted({*range(FIRST, FIRST + COUNT), *FAILED_ONCE})
 )
--- a/testing/support/soak_checks.py
+++ b/testing/support/soak_checks.py
@@ -19,6 +19,7 @@
 #: Statuses that promise that a request has not run.
 NOT_RUN = (429, 503)
 OK = 200
+REFUSED = 503
 #: Events of each stream.
 EVENTS = 6
 
--- a/testing/support/soak_fleet.py
+++ b/testing/support/soak_fleet.py
@@ -3,6 +3,9 @@
 
 import asyncio
 import collections
+from collections.abc import Callable
+import functools
+import itertools
 import json
 import os
 import pathlib
@@ -23,6 +26,8 @@
 #: Longest wait of a caller for an answer, in seconds; past it, it leaves.
 _LEAVES_S = 6.0
 _WORK_S = 0.005
+#: Last part of the path of requests that end the server that runs them.
+ENDING = "ending"
 
 
 class Server:
@@ -32,6 +37,8 @@
         self._ran = ran
         self._server: asyncio.Server | None = None
         self.port = 0
+        #: Called with a request that ends this server.
+        self.ends: Callable[[], None] = lambda: None
 
     async def start(self) -> None:
         self._server = await asyncio.start_server(self._serve, HOST, 0)
@@ -62,6 +69,9 @@
         kind = soak_checks.Kind(line.split(b"/")[1].decode())
         self._ran[name] += 1
         await asyncio.sleep(_WORK_S)
+        if line.split(b" ")[1].endswith(ENDING.encode()):
+            self.ends()
+            raise ConnectionAbortedError
         writer.write(
             b"HTTP/1.1 200 OK\r\nResponse-Seal: s\r\nAttempt-Identifier: %s"
             b"\r\n" % name.encode()
@@ -104,7 +114,7 @@
         self.lives = 0
         self.ports = {
             what: edge_rig.free_port()
-            for what in ("callers", "ready", "state", "peers")
+            for what in ("callers", "ready", "state", "peers", "metrics")
         }
         listen = {what: f"{HOST}:{port}" for what, port in self.ports.items()}
         settings = {
@@ -156,6 +166,18 @@
         if self._proc.returncode is None:
             self._proc.send_signal(num)
 
+    async def ends_listed(self) -> int:
+        """Return the most ends that it lists under one request."""
+        conn = await http1.connect(
+            HOST, self.ports["metrics"], timeout_s=_LEAVES_S
+        )
+        headers = [(b"Host", b"h"), (b"Connection", b"close")]
+        conn.send(b"GET", b"/suspects", headers, b"")
+        await conn.answer()
+        listed = json.loads(await conn.body())["suspects"]
+        conn.close()
+        return max((len(one["ends"]) for one in listed), default=0)
+
     async def ended(self) -> None:
         assert self._proc is not None
         await self._proc.wait()
@@ -194,21 +216,19 @@
         self.ways: list[soak_proxy.Proxy] = []
         self.processes: list[Process] = []
         self._count = processes
+        self._lives = itertools.count()
+        #: How many servers have ended under a request.
+        self.ended = 0
+        self._begun_anew: set[asyncio.Task[None]] = set()
         self.version = 0
 
     async def start(self) -> None:
         """Start everything and wait until all processes are ready."""
         _, _, port = (await self.store.start(HOST)).rpartition(":")
-        for server in self.servers:
+        for num, server in enumerate(self.servers):
             await server.start()
-            way = soak_proxy.Proxy(server.port)
-            await way.start()
-            self.ways.append(way)
-        for num, way in enumerate(self.ways):
-            row = edge_rig.entry(
-                "app", f"{HOST}:{way.port}", f"d{num % 3}", slots=8
-            )
-            self.store.append(platform.BACKENDS_TOPIC, f"i-{num}", row)
+            self.ways.append(soak_proxy.Proxy(server.port))
+            await self._begin(num)
         self.change()
         for num in range(self._count):
             store_way = soak_proxy.Proxy(int(port))
@@ -218,6 +238,27 @@
             await one.start()
         await self.settled()
 
+    async def _begin(self, num: int) -> None:
+        """Begin a life of a server."""
+        way = self.ways[num]
+        await way.start()
+        name = f"i-{next(self._lives)}"
+        row = edge_rig.entry(
+            "app", f"{HOST}:{way.port}", f"d{num % 3}", slots=8
+        )
+        self.store.append(platform.BACKENDS_TOPIC, name, row)
+        self.servers[num].ends = functools.partial(self._end, num, name)
+
+    def _end(self, num: int, name: str) -> None:
+        """End a server at once; its next life has another address."""
+        self.ended += 1
+        self.ways[num].close()
+        self.ways[num] = soak_proxy.Proxy(self.servers[num].port)
+        self.store.append(platform.BACKENDS_TOPIC, name, b"")
+        task = asyncio.create_task(self._begin(num))
+        self._begun_anew.add(task)
+        task.add_done_callback(self._begun_anew.discard)
+
     async def stop(self) -> None:
         """End what this fleet has started."""
         for one in self.processes:
@@ -295,9 +336,17 @@
             self._conn = None
 
     async def ask(
-        self, name: str, kind: soak_checks.Kind, *, planned: bool = False
+        self,
+        name: str,
+        kind: soak_checks.Kind,
+        *,
+        planned: bool = False,
+        last: str = "x",
     ) -> soak_checks.Call:
-        """Send one request; keep and return what came of it."""
+        """Send one request; keep and return what came of it.
+
+        :param last: last part of its path.
+        """
         parts: list[bytes] = []
         status, whole = 0, False
         try:
@@ -311,7 +360,7 @@
                 ]
                 if method == b"POST":
                     headers.append((b"Content-Length", b"0"))
-                target = f"/{kind.value}/x".encode()
+                target = f"/{kind.value}/{last}".encode()
                 conn.send(method, target, headers, b"")
                 status = (await conn.answer()).status
                 while (data := await conn.data()) is not None:
