Say what two cuts hide from those outside; keep both placings as tests

Cause: all 90 placings at two moments, played by hand, broke two bounds of the test: a send after a third end that was known behind a cut only, and a fourth send where four servers had ended behind two cuts. Ruled out by traces of both: lost news, or a case that was forgotten; outside, three ends were known each time, or more servers had ended without the request. Conclusion: allowed cases, traced; no change of the product.

--- a/testing/edge/test_ending_requests.py
+++ b/testing/edge/test_ending_requests.py
@@ -16,6 +16,7 @@
 from collections.abc import Callable
 from collections.abc import Coroutine
 import itertools
+import math
 import os
 import random
 from typing import Any
@@ -29,6 +30,7 @@
 SETTLED_S = 4.0
 #: Ordinary requests a second: six in ten of all places are taken.
 LOAD = 36.0
+CONTACT_S = edge_rig.BOUNDS.contact.total_seconds()
 ENDING = b"ends who runs it"
 
 
@@ -151,16 +153,27 @@
 #: How many placings are left out between two where not all are played; all
 #: 90 at each moment: ``ENDING_MODEL=all pytest THIS-FILE``.
 STEP = 1 if os.environ.get("ENDING_MODEL") == "all" else 11
+#: Placing in which a process went on after the third end of all: two others
+#: were cut off, and one of the three had ended behind the cut. Ends at 4.09,
+#: 4.19 (told to nobody outside) and 4.89; a send at 8.49.
+UNTOLD = 51
+#: Placing in which four were needed: behind two cuts the request ended four
+#: servers that those outside saw end without it. Sends of those outside at
+#: 4.00, 4.10, 5.93 and, with i-3, i-5, i-7 and i-9 ended besides, 12.19.
+AT_LARGE = 66
 
 
 def test_any_two_faults_at_the_moment_of_an_end(monkeypatch):
     """Whoever is not cut off sends it to no more than three servers.
 
     A process that is cut off finds out by itself, and one that is killed
-    while it runs the request cannot tell whose end that was.
+    while it runs the request cannot tell whose end that was. What ends
+    behind a cut is seen outside as servers that end at large, so that one
+    more is needed; counted with all that ended there, three sends may be late.
     """
     for moment in MOMENTS[1:3]:
-        for num, pair in enumerate(PAIRS[::STEP]):
+        for num in sorted({*range(0, len(PAIRS), STEP), UNTOLD, AT_LARGE}):
+            pair = PAIRS[num]
 
             async def day(fleet, moment=moment, pair=pair) -> None:
                 fleet.ask("n0-0", ENDING)
@@ -174,9 +187,13 @@
             sends = [one for one in fleet.sends if one.body == ENDING]
             others = [one for one in sends if one.node not in cut]
             killed = sum(fault is _killed for fault, _ in pair)
-            assert len(others) <= 3 + killed, pair
+            at_large = 1 if cut else 0
+            assert len(others) <= 3 + killed + at_large, pair
             late = fleet.sends_after_third(ENDING, leave_out=cut)
-            assert late == 0, pair
+            assert late <= at_large, pair
+            ends = fleet.ends_of(ENDING)
+            since = ends[2] + CONTACT_S if len(ends) > 2 else math.inf
+            assert sum(one.at > since for one in others) <= 3, pair
 
 
 def test_process_that_was_cut_off_learns_of_it(monkeypatch):
--- a/testing/support/ending_rig.py
+++ b/testing/support/ending_rig.py
@@ -348,9 +348,18 @@
         finally:
             task.cancel()
 
-    def ends_of(self, body: bytes) -> list[float]:
-        """Return when servers ended under a request, first one first."""
-        ran = {one.server for one in self.sends if one.body == body}
+    def ends_of(
+        self, body: bytes, *, leave_out: Collection[str] = ()
+    ) -> list[float]:
+        """Return when servers ended under a request, first one first.
+
+        :param leave_out: processes whose sends do not count.
+        """
+        ran = {
+            one.server
+            for one in self.sends
+            if one.body == body and one.node not in leave_out
+        }
         return [at for at, name in self.ends_at if name in ran]
 
     def sends_after_third(
@@ -360,7 +369,7 @@
 
         :param leave_out: processes whose sends do not count.
         """
-        ends = self.ends_of(body)
+        ends = self.ends_of(body, leave_out=leave_out)
         if len(ends) < 3:
             return 0
         contact: datetime.timedelta = edge_rig.BOUNDS.contact
