Say why a request was not sent to another server

Cause: the line 'attempt ended' with action refuse did not tell whether the retry budget, the attempts of the route or the servers were used up, so that the two causes of the known failure (servers that turn requests away without a time) could not be told apart.

Change: retry_policy.RetryObstacle, in the line as no_retry and in the metric lugcross_no_retries_total by service and reason. No decision is changed.

--- a/src/lugcross/edge/metrics.py
+++ b/src/lugcross/edge/metrics.py
@@ -43,6 +43,12 @@
             ("service", "event"),
             registry=self._registry,
         )
+        self._no_retries = prometheus_client.Counter(
+            "lugcross_no_retries",
+            "Attempts without an answer that were not followed by another.",
+            ("service", "why"),
+            registry=self._registry,
+        )
         self._suspects_refused = prometheus_client.Counter(
             "lugcross_suspects_refused",
             "Requests refused since servers have ended under them.",
@@ -119,6 +125,10 @@
         """Count one attempt at a backend server by its outcome."""
         self._attempts.labels(service, event).inc()
 
+    def count_no_retry(self, service: str, why: str) -> None:
+        """Count an attempt after which the request was not sent again."""
+        self._no_retries.labels(service, why).inc()
+
     def count_backoff_asked(self, service: str) -> None:
         """Count an answer by which a backend server asked for a backoff."""
         self._backoffs_asked.labels(service).inc()
--- a/src/lugcross/edge/request_forwarder.py
+++ b/src/lugcross/edge/request_forwarder.py
@@ -177,13 +177,11 @@
             self._state = retry_policy.state_after(self._state, outcome)
             await self._check_for_crash(outcome, backend)
             choice = self._choose_backend()
+            obstacle = self._retry_obstacle(choice, outcome)
             action = retry_policy.next_action(
-                self._state,
-                outcome,
-                retry_available=choice is not None
-                and self._spend_retry(outcome),
+                self._state, outcome, retry_available=obstacle is None
             )
-            self._log_attempt(outcome, backend, action)
+            self._log_attempt(outcome, backend, action, obstacle)
             if action is not retry_policy.Action.RETRY or choice is None:
                 await self._finish_unanswered(action, outcome)
                 return
@@ -240,21 +238,30 @@
             and self._choose_backend() is not None
         )
 
-    def _spend_retry(self, outcome: retry_policy.AttemptOutcome) -> bool:
-        """Return whether a retry is allowed, and take it from the budget.
+    def _retry_obstacle(
+        self,
+        choice: backend_choice.BackendChoice | None,
+        outcome: retry_policy.AttemptOutcome,
+    ) -> retry_policy.RetryObstacle | None:
+        """Return why there is no retry; None after taking one from the budget.
 
-        It costs nothing while no attempt has reached a backend server.
+        A retry costs nothing while no attempt has reached a backend server.
         """
-        if not retry_policy.may_send(self._state):
-            return False
+        obstacle = retry_policy.retry_obstacle(self._state)
+        if obstacle is not None:
+            return obstacle
+        if choice is None:
+            return retry_policy.RetryObstacle.NO_SERVER
         broke = outcome is retry_policy.AttemptOutcome.BROKEN
         if not self._edge_state.crash_tracker.may_retry(
             self._checked, last_attempt_broke=broke
         ):
-            return False
-        if not self._state.attempts_sent:
-            return True
-        return self._edge_state.spend_retry(self._checked.service, outcome)
+            return retry_policy.RetryObstacle.CRASHES
+        if self._state.attempts_sent and not self._edge_state.spend_retry(
+            self._checked.service, outcome
+        ):
+            return retry_policy.RetryObstacle.NO_BUDGET
+        return None
 
     def _choose_backend(self) -> backend_choice.BackendChoice | None:
         if self._is_suspect():
@@ -335,7 +342,12 @@
         outcome: retry_policy.AttemptOutcome,
         backend: desired.Backend,
         action: retry_policy.Action,
+        obstacle: retry_policy.RetryObstacle | None,
     ) -> None:
+        if obstacle is not None:
+            self._edge_state.metrics.count_no_retry(
+                self._checked.service, obstacle.value
+            )
         logging.info(
             "attempt ended",
             extra={
@@ -344,5 +356,6 @@
                 "event": outcome.value,
                 "action": action.value,
                 "sent": self._state.attempts_sent,
+                "no_retry": None if obstacle is None else obstacle.value,
             },
         )
--- a/src/lugcross/edge/retry_policy.py
+++ b/src/lugcross/edge/retry_policy.py
@@ -47,6 +47,23 @@
     ABORT_RESPONSE = "cut"
 
 
+class RetryObstacle(enum.Enum):
+    """Why a request is not sent to another backend server.
+
+    ``MAY_HAVE_RUN``: it must not run twice and may have run already.
+    ``NO_ATTEMPTS``: it has used up the attempts that its route allows.
+    ``CRASHES``: it may be what crashes its servers.
+    ``NO_SERVER``: there is no other server that it may go to.
+    ``NO_BUDGET``: the retry budget is used up.
+    """
+
+    MAY_HAVE_RUN = "may have run"
+    NO_ATTEMPTS = "no attempts left"
+    CRASHES = "may crash servers"
+    NO_SERVER = "no other server"
+    NO_BUDGET = "no budget"
+
+
 @final
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class RequestState:
@@ -83,14 +100,21 @@
     )
 
 
-def may_send(state: RequestState) -> bool:
-    """Return whether the request may be sent to another backend server."""
+def retry_obstacle(state: RequestState) -> RetryObstacle | None:
+    """Return why the request itself must not be sent again, if so."""
     if (
         state.attempts_sent >= state.max_attempts
         or state.failed_connections >= MAX_FAILED_CONNECTIONS
     ):
-        return False
-    return state.repeatable or not state.may_have_run
+        return RetryObstacle.NO_ATTEMPTS
+    if state.may_have_run and not state.repeatable:
+        return RetryObstacle.MAY_HAVE_RUN
+    return None
+
+
+def may_send(state: RequestState) -> bool:
+    """Return whether the request may be sent to another backend server."""
+    return retry_obstacle(state) is None
 
 
 def next_action(
