Test malformed suspects in the field that holds them

Cause: the test put its cases into the last field of a heartbeat, which had been suspects when it was written; leaving_backends came after it. Every case was refused for its type there, and the test asserted nothing of suspects.

Change: the index follows from the name of the field; a rejection must name that field, and what is accepted must hold the one suspect. Four fixed examples beside the drawn ones, one of them valid, so that both ways are taken.

--- a/testing/edge/test_malformed_messages.py
+++ b/testing/edge/test_malformed_messages.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 import cbor2
+from hypothesis import example
 from hypothesis import given
 from hypothesis import strategies
 import msgspec
@@ -37,6 +38,7 @@
 HEARTBEAT = messages.Heartbeat(
     "n", "i", "d", 1, False, 1, 1, {"a": 1}, ["h:1"]
 )
+SUSPECTS_INDEX = HEARTBEAT.__struct_fields__.index("suspects")
 #: Nesting deeper than any decoder supports, and lengths beyond the data.
 EXTREMES = [
     b"",
@@ -86,17 +88,24 @@
 
 
 @given(value=VALUES, crashes=VALUES, field=strategies.integers(0, 2))
+@example(value=None, crashes=[["i-1", "v1", 5, 5]], field=1)
+@example(value=None, crashes=[["i-1", "v1", 5, -1]], field=1)
+@example(value=7, crashes=None, field=2)
+@example(value=b"short", crashes=None, field=0)
 def test_malformed_suspects_are_rejected_and_change_nothing(
     value, crashes, field
 ):
     suspect = [b"x" * 16, [["i-1", "v1", 5, 5]], -1]
     suspect[field] = crashes if field == 1 else value
     fields = cbor2.loads(messages.encode(HEARTBEAT))
-    fields[-1] = [suspect]
+    fields[SUSPECTS_INDEX] = [suspect]
     try:
         heartbeat = messages.decode_datagram(cbor2.dumps(fields))
-    except msgspec.ValidationError:
+    except msgspec.ValidationError as exc:
+        # Not for another field: the suspects would not have been read.
+        assert f"`$[{SUSPECTS_INDEX}][0]" in str(exc)
         return
+    assert len(heartbeat.suspects) == 1
     registry = crash_suspects.SuspectRegistry()
     clock = clock_lib.ManualClock()
     suspect_gossip.SuspectGossip(registry, clock).merge(heartbeat.suspects)
