Ask the ranks of a group again that has formed with another size

What callers saw: nothing at once; the group's expert map was never changed again, so that its passes stayed as skewed as they were.

Cause: a new server that reported another number of ranks replaced the group by an empty one, while its other servers still counted as ranks of the old one and were not asked (RankGroups.assign_rank). Where no server was new, the size in a report was not looked at at all (RankGroup.apply_report).

Change: RankGroups.forget, called in both cases; servers of unknown rank are asked at the next discovery. A late report of an earlier epoch changes nothing.

--- a/src/lugcross/edge/rank_groups.py
+++ b/src/lugcross/edge/rank_groups.py
@@ -153,6 +153,12 @@
             interval = min(interval, _SHORT_REPORT_INTERVAL)
         return now - self.reported_at >= interval
 
+    def has_another_size(self, report: experts.RankReport) -> bool:
+        """Return whether the group has formed with another number of ranks."""
+        return (
+            report.epoch >= self.epoch and report.rank_count != self.rank_count
+        )
+
     def note_unreachable(self, now: clock_lib.Instant) -> None:
         """Mark the group as not open because no queried rank answered."""
         self.is_open = False
@@ -285,13 +291,17 @@
     ) -> None:
         """Record the group and rank that a backend server has reported.
 
-        A group that reports another number of ranks than before is replaced.
+        A group that reports another number of ranks than before is replaced,
+        and its other servers count as of unknown rank.
         """
         limits = engine.experts
         assert limits is not None
         key = backend.service, report.group
         group = self._groups.get(key)
-        if group is None or group.rank_count != report.rank_count:
+        if group is not None and group.rank_count != report.rank_count:
+            self.forget(group)
+            group = None
+        if group is None:
             group = RankGroup(
                 report.group,
                 backend.service,
@@ -303,6 +313,18 @@
         group.servers_by_rank[report.rank] = backend
         self._group_by_server[backend.key] = group
 
+    def forget(self, group: RankGroup) -> None:
+        """Forget a group and which servers are its ranks.
+
+        The servers are then asked for their ranks again.
+        """
+        self._groups = {
+            k: g for k, g in self._groups.items() if g is not group
+        }
+        self._group_by_server = {
+            k: g for k, g in self._group_by_server.items() if g is not group
+        }
+
     def retain_servers(self, backends: Iterable[desired.Backend]) -> None:
         """Forget the ranks of all backend servers but ``backends``."""
         known = {one.key for one in backends}
--- a/src/lugcross/edge/rank_queries.py
+++ b/src/lugcross/edge/rank_queries.py
@@ -85,7 +85,7 @@
         """Query the state of a group from one rank or a few.
 
         The group is marked unreachable only if none of the sampled ranks
-        answers.
+        answers. It is forgotten if it has formed with another number of ranks.
         """
         backing_off = self._backoffs.servers()
         ranks = group.sample_ranks(
@@ -100,6 +100,9 @@
         now = self._clock.monotonic()
         if not reports:
             group.note_unreachable(now)
+        if any(group.has_another_size(report) for report in reports):
+            self._groups.forget(group)
+            return
         for report in reports:
             group.apply_report(report, now)
 
