Close a connection whose Keep-Alive time is already over

Cause: ConnectionPool.release compared a lifetime with zero by truth, and a Keep-Alive timeout below the margin of one second gives a negative one.

Evidence: found by reading; the new case of 0 s failed before, 1 s passed. Change: a lifetime of zero or less closes it. No other lifetime in the package is compared by truth.

--- a/src/lugcross/edge/connection_pool.py
+++ b/src/lugcross/edge/connection_pool.py
@@ -100,7 +100,7 @@
         if (
             len(idle) >= _MAX_IDLE_CONNECTIONS
             or not conn.reusable
-            or not lifetime
+            or lifetime <= datetime.timedelta()
         ):
             conn.close()
             return
--- a/testing/edge/test_connection_pool.py
+++ b/testing/edge/test_connection_pool.py
@@ -93,3 +93,16 @@
         return conn.closing and await pool.acquire(BACKEND) is not conn
 
     assert asyncio.run(act())
+
+
+@pytest.mark.parametrize("keep_alive_s", [0, 1])
+def test_connection_that_is_already_over_is_closed(pool, keep_alive_s):
+    # Symptom: idle connections that nobody could use took up the pool's
+    # places. Sequence: the server announced a Keep-Alive timeout of less than
+    # the safety margin. Cause: a negative lifetime was taken for a lifetime.
+    async def act() -> bool:
+        conn = await pool.acquire(BACKEND)
+        pool.release(BACKEND, conn, datetime.timedelta(seconds=keep_alive_s))
+        return conn.closing
+
+    assert asyncio.run(act())
