Reject a read of the store that ends within a record

Cause: StoreClient._decode_records took the rest of the response for the last record, whatever its stated length: a slice beyond the end is shorter without an error. The remains were applied, and the offset counted as read.

Evidence: found by reading; two of three new cases failed before (the third, a part of a length, was rejected already). Change: the read counts as unavailable and is repeated. The platform ends its responses between records, so nothing valid is turned down.

--- a/src/lugcross/platform/store_client.py
+++ b/src/lugcross/platform/store_client.py
@@ -356,6 +356,10 @@
             (size,) = _RECORD_LENGTH.unpack_from(body, pos)
             pos += _RECORD_LENGTH.size
             record = body[pos : pos + size]
+            if len(record) < size:
+                raise _log_unavailable_error(
+                    f"malformed records: {len(record)} of {size} bytes"
+                )
             pos += size
             records.append(_decode_record(_make_position(era, offset), record))
             offset += 1
--- a/testing/platform/test_store_client.py
+++ b/testing/platform/test_store_client.py
@@ -215,6 +215,40 @@
     assert result.records[0].value
 
 
+@pytest.mark.parametrize(
+    "last",
+    [
+        pytest.param(_pack_uint32(9) + b"\x01a{", id="shorter-than-stated"),
+        pytest.param(_pack_uint32(9), id="length-only"),
+        pytest.param(b"\0\0", id="part-of-a-length"),
+    ],
+)
+def test_read_that_ends_within_a_record_is_rejected(monkeypatch, last):
+    """The last record of a read is shorter than its stated length.
+
+    Symptom: the record that was left of it was applied as if it were whole,
+    and its offset counted as read. Cause: a slice beyond the end of the
+    response is shorter without an error.
+    """
+    good = b"\x01a{}"
+    answer = (
+        (2).to_bytes(8, "big")
+        + bytes(8)
+        + _pack_uint32(len(good))
+        + good
+        + last
+    )
+
+    async def main() -> None:
+        client = _client_with_fixed_response(monkeypatch, answer)
+        with pytest.raises(errors.LogUnavailableError, match="malformed"):
+            await client.read_from(
+                "t", ids.Offset(0), wait=datetime.timedelta()
+            )
+
+    virtual_time.run(main())
+
+
 def test_newest_record_with_invalid_base64_does_not_hide_others(monkeypatch):
     items = [
         {"private_key": "a", "value": "!", "offset": 0},
