Report an append with a garbled response as one of unknown outcome

Cause: HttpLogClient.append let the decoder's error through. Its callers handle AppendUnknownError, by which they look for the change id; the other one ended the operator's call with an error that said nothing of the outcome.

HttpLogClient.read did so already.

--- a/src/lugcross/logservice/log.py
+++ b/src/lugcross/logservice/log.py
@@ -110,7 +110,10 @@
         if resp.status != http.HTTPStatus.OK:
             # A proxy may answer 5xx after the service stored the record.
             raise _append_unknown(f"status {resp.status}")
-        return msgspec.json.decode(resp.data, type=_AppendResult).offset
+        try:
+            return msgspec.json.decode(resp.data, type=_AppendResult).offset
+        except msgspec.DecodeError as exc:
+            raise _append_unknown(f"invalid response: {exc}") from exc
 
     def read(
         self, stream: str, start: ids.Offset, *, wait_s: float = 0.0
