Ask for two counts of links or more in the bench of control costs

Cause: with one count the line through one point divides by zero, after minutes of measuring. Change: the option is rejected at once, with what to name.

--- a/bench/control_costs.py
+++ b/bench/control_costs.py
@@ -355,13 +355,19 @@
 @click.option("--links", "counts", default="1,8,24", show_default=True)
 def main(as_json: bool, counts: str) -> None:
     """Measure the costs of control traffic and state."""
+    link_counts = tuple(int(one) for one in counts.split(","))
+    if len(set(link_counts)) < 2:
+        raise click.BadParameter(
+            "name two counts or more, from which a line is fitted",
+            param_hint="--links",
+        )
     found = {
         "messages": measure_messages(),
         "records": measure_records(),
         "decisions": measure_decisions(),
         "memory": measure_memory(),
         "streams": measure_streams((1, 32, 96)),
-        "links": measure_links(tuple(int(one) for one in counts.split(","))),
+        "links": measure_links(link_counts),
     }
     click.echo(json.dumps(found, indent=None if as_json else 2))
 
