--- a/src/lugcross/edge/refusing_servers.py
+++ b/src/lugcross/edge/refusing_servers.py
@@ -21,10 +21,11 @@
 #: Age at which the refusals of a server are forgotten. A server that nobody
 #: has probed for so long is tried like any other.
 _MAX_AGE = datetime.timedelta(seconds=5)
-#: How long a change is repeated in heartbeats, in case some are lost.
-_CHANGE_REPORT_PERIOD = datetime.timedelta(seconds=1)
+#: How long a change is repeated in heartbeats. Other failure domains get one
+#: heartbeat each 0.2 s.
+_CHANGE_REPORT_PERIOD = datetime.timedelta(seconds=0.3)
 #: Number of servers, those that changed last, that one heartbeat reports.
-_MAX_REPORTED_SERVERS = 16
+_MAX_REPORTED_SERVERS = 8
 #: Name under which this process's own refusals are kept.
 _OWN = ""
 
@@ -189,7 +190,9 @@
     def _touch(self, key: desired.BackendKey) -> _Entry:
         """Return the entry of a server as the one updated last."""
         now = self._clock.monotonic()
-        entry = self._entries.setdefault(key, _Entry(now))
+        entry = self._entries.get(key)
+        if entry is None:
+            entry = self._entries[key] = _Entry(now)
         entry.updated_at = now
         self._entries.move_to_end(key)
         return entry
