Keep the limit that a backend server states for all processes

The users' rule LIMIT: a server in need names the requests a second that it takes from all machines together; within 4 s it may get half as many again and five more. Nothing read it.

Change: platform decodes Server-Limit on every response, the engines' too. edge.server_limits keeps the newest statement and this process's part of it; edge.limit_reports tells peers. Asked just before each send, beside backoffs. A part for each of hundreds of processes would allow a burst of hundreds after a quiet minute, so a few share a limit (rendezvous hashing over known processes).

--- a/src/lugcross/edge/app.py
+++ b/src/lugcross/edge/app.py
@@ -107,7 +107,7 @@
             pool,
             timeout_s=engine_transport.REPORT_TIMEOUT_S,
             on_response_head=self.edge_state.apply_response_head,
-            may_send=self.edge_state.backoffs.may_send_deferrable,
+            may_send=self._may_send_deferrable,
         )
         order_transport = engine_transport.EngineTransport(
             pool,
@@ -161,6 +161,12 @@
         self._stopping_since: clock_lib.Instant | None = None
         self._stop_requested = asyncio.Event()
 
+    def _may_send_deferrable(self, key: desired.BackendKey) -> bool:
+        """Return whether an engine may be sent a query now, and count it."""
+        return self.edge_state.backoffs.may_send_deferrable(
+            key
+        ) and self.edge_state.limits.try_spend_deferrable(key)
+
     def run(self) -> None:
         """Serve until a stop signal, drain open connections and return."""
         with asyncio.Runner(
--- a/src/lugcross/edge/edge_state.py
+++ b/src/lugcross/edge/edge_state.py
@@ -30,6 +30,7 @@
 from lugcross.edge import refusing_servers as refusing_servers_lib
 from lugcross.edge import retry_policy
 from lugcross.edge import server_backoffs as server_backoffs_lib
+from lugcross.edge import server_limits as server_limits_lib
 from lugcross.edge import settings as settings_lib
 from lugcross.edge import workspace_usage
 from lugcross import ids
@@ -117,6 +118,7 @@
         self.broken_group_servers = flagged_servers_lib.FlaggedServers(clock)
         self.slow_servers = flagged_servers_lib.FlaggedServers(clock)
         self.backoffs = server_backoffs_lib.ServerBackoffs(clock)
+        self.limits = server_limits_lib.ServerLimits(clock)
         self.refusing = refusing_servers_lib.RefusingServers(clock)
         self._probe_allowances: dict[
             ids.ServiceName, probe_allowance_lib.ProbeAllowance
@@ -199,11 +201,12 @@
         backing_off = self.backoffs.servers()
         slow = self.slow_servers.servers()
         refusing = self.refusing.servers()
-        filter_sets = (broken, backing_off, refusing, slow)
+        limited = self.limits.servers()
+        filter_sets = (broken, backing_off, refusing, limited, slow)
         cached = self._eligible_servers.get(service)
         if cached and cached.is_current(listed, filter_sets):
             return cached.servers
-        unavailable = broken | backing_off
+        unavailable = broken | backing_off | limited
         usable = [one for one in listed if one.key not in unavailable]
         accepting = [one for one in usable if one.key not in refusing]
         usable = eligible_servers_lib.without_slow(accepting or usable, slow)
@@ -240,6 +243,8 @@
             self.loads.record_reported_load(key, head.load)
         if head.leaving and not head.wrong_instance:
             self.backends.mark_leaving(key)
+        if not head.wrong_instance:
+            self._record_limit(backend, head)
         if head.retry_after is None:
             return
         self.metrics.count_backoff_asked(backend.service)
@@ -258,6 +263,24 @@
             self._clock.monotonic() + head.retry_after
         )
 
+    def _record_limit(
+        self, backend: desired.Backend, head: platform.BackendResponseHead
+    ) -> None:
+        was_limited = backend.key in self.limits.servers()
+        self.limits.record_response(backend.key, head.rate_limit)
+        is_limited = backend.key in self.limits.servers()
+        if is_limited != was_limited:
+            logging.info(
+                "backend server limits its requests"
+                if is_limited
+                else "backend server no longer limits its requests",
+                extra={
+                    "request": head.attempt_id,
+                    "backend": backend.key,
+                    "per_s": head.rate_limit.per_s,
+                },
+            )
+
     def load_snapshot(
         self, service: ids.ServiceName, *, least_busy_requests: int = 0
     ) -> admission.LoadSnapshot:
@@ -383,17 +406,36 @@
         """
         servers = self.eligible_servers(service)
         if not tried and self.probe_allowance(service).may_probe():
-            probe = self.choose_probe(service)
+            probe = self._choose_probe(service)
             if probe is not None:
                 return probe
-        found = self._choose_among(servers.sample(self._rng), tried)
+        limited = self._limited_with_room(service)
+        found = self._choose_among(
+            [*servers.sample(self._rng), *limited], tried
+        )
         if found is None or found.best.avoided:
-            found = self._choose_among(servers.all, tried)
+            found = self._choose_among([*servers.all, *limited], tried)
         if not tried and (found is None or found.best.avoided):
-            found = self.choose_probe(service) or found
+            found = self._choose_probe(service) or found
         return found or self._choose_among(self._refusing(service), tried)
 
-    def choose_probe(
+    def choose_spare(
+        self, service: ids.ServiceName
+    ) -> backend_choice.BackendChoice | None:
+        """Return a server for a request that the service has no room for.
+
+        This is a server that limits its requests and takes one now, or a
+        refusing one that is due for a probe. Neither is counted as capacity.
+        """
+        limited = [
+            one
+            for one in self._limited_with_room(service)
+            if self.loads.requests_at(one.key) < one.slots
+            and not self.loads.is_avoided(one.key)
+        ]
+        return self._choose_among(limited, ()) or self._choose_probe(service)
+
+    def _choose_probe(
         self, service: ids.ServiceName
     ) -> backend_choice.BackendChoice | None:
         """Return a refusing server that is due for a probe, if there is one.
@@ -413,8 +455,31 @@
         return self._choose_among([oldest], ())
 
     def _refusing(self, service: ids.ServiceName) -> list[desired.Backend]:
+        """Return the refusing servers that may be sent a request now."""
+        return [
+            one
+            for one in self._listed_in(service, self.refusing.servers())
+            if self.limits.may_send(one.key)
+        ]
+
+    def _limited_with_room(
+        self, service: ids.ServiceName
+    ) -> list[desired.Backend]:
+        """Return the servers whose limit allows a request now."""
         refusing = self.refusing.servers()
-        if not refusing:
+        return [
+            one
+            for one in self._listed_in(service, self.limits.servers())
+            if one.key not in refusing and self.limits.may_send(one.key)
+        ]
+
+    def _listed_in(
+        self,
+        service: ids.ServiceName,
+        keys: frozenset[desired.BackendKey],
+    ) -> list[desired.Backend]:
+        """Return the servers of ``service`` among some, if not unavailable."""
+        if not keys:
             return []
         unavailable = (
             self.broken_group_servers.servers() | self.backoffs.servers()
@@ -422,9 +487,22 @@
         return [
             one
             for one in self.backends.usable(service)
-            if one.key in refusing and one.key not in unavailable
+            if one.key in keys and one.key not in unavailable
         ]
 
+    def remaining_limit_wait(
+        self, service: ids.ServiceName
+    ) -> datetime.timedelta | None:
+        """Return the time until a limited server takes a request again.
+
+        :returns: None if a server without a limit could be used, or if the
+            service has no server that limits its requests.
+        """
+        if not self.limits.servers() or self.eligible_servers(service):
+            return None
+        limited = self._listed_in(service, self.limits.servers())
+        return self.limits.remaining(one.key for one in limited)
+
     def record_refusal(self, backend: desired.Backend) -> None:
         """Record that a server refused a request and named no time."""
         key = backend.key
@@ -456,7 +534,10 @@
 
         :param tried: servers that the request has been sent to.
         """
-        servers = self.eligible_servers(checked.service).all
+        servers = [
+            *self.eligible_servers(checked.service).all,
+            *self._limited_with_room(checked.service),
+        ]
         best_choice = self._choose_among(servers, tried)
         free = {
             one.key: one
@@ -540,6 +621,7 @@
         known = {one.key for one in self.backends.all()}
         self.pool.close_unusable(known)
         self.loads.retain_only(known)
+        self.limits.retain_only(known)
 
 
 def _exempt_requests(
--- a/src/lugcross/edge/messages.py
+++ b/src/lugcross/edge/messages.py
@@ -88,6 +88,25 @@
     accepted_age_ms: Annotated[int, msgspec.Meta(ge=-1, le=MAX_REFUSAL_AGE_MS)]
 
 
+#: Longest reported age of a server's limit.
+MAX_LIMIT_AGE_MS = 3_600_000
+
+
+@final
+class ServerLimit(msgspec.Struct, frozen=True, array_like=True):
+    """What the newest response of a backend server says of its limit.
+
+    :param server: the life of the backend server.
+    :param rate_per_s: requests a second that it takes from all processes;
+        None if it states no limit any more.
+    :param age_ms: milliseconds since the response.
+    """
+
+    server: _Name
+    rate_per_s: Annotated[float, msgspec.Meta(ge=0)] | None
+    age_ms: Annotated[int, msgspec.Meta(ge=0, le=MAX_LIMIT_AGE_MS)]
+
+
 @final
 class Heartbeat(msgspec.Struct, frozen=True, array_like=True):
     """State of one edge process, sent to its peers in a datagram.
@@ -127,6 +146,7 @@
         leaving while their entry does not say so yet.
     :param server_reports: backend servers that have lately refused requests
         of the sender, or accepted one after that.
+    :param server_limits: some of the limits that backend servers state.
     """
 
     node: str
@@ -151,6 +171,7 @@
     suspects: list[Suspect] = []
     leaving_backends: list[_Name] = []
     server_reports: list[ServerReport] = []
+    server_limits: list[ServerLimit] = []
 
 
 @final
--- a/src/lugcross/edge/peers.py
+++ b/src/lugcross/edge/peers.py
@@ -185,6 +185,14 @@
         """Return how many addresses of peers are known, live or not."""
         return len(self._peers)
 
+    def staying_addresses(self) -> list[str]:
+        """Return the known addresses of peers that are not shutting down."""
+        return [
+            address
+            for address, peer in self._peers.items()
+            if peer.heartbeat is None or not peer.heartbeat.leaving
+        ]
+
     def live(self, within: datetime.timedelta = _LIVE_TIMEOUT) -> list[Peer]:
         """Return the peers that sent a heartbeat within a time."""
         now = self._clock.monotonic()
--- a/src/lugcross/edge/request_errors.py
+++ b/src/lugcross/edge/request_errors.py
@@ -89,6 +89,17 @@
     )
 
 
+def all_limited(wait: datetime.timedelta, rng: random.Random) -> RequestError:
+    """Return the refusal while all servers have reached their limits.
+
+    :param wait: time until the first of them takes a request again.
+    """
+    return _not_run(
+        "every backend server limits its requests",
+        max(MIN_RETRY_AFTER, wait) + MIN_RETRY_AFTER * rng.random(),
+    )
+
+
 def unavailable(what: str, time_left: datetime.timedelta) -> RequestError:
     """Return the refusal of a request that all servers refused.
 
--- a/src/lugcross/edge/request_forwarder.py
+++ b/src/lugcross/edge/request_forwarder.py
@@ -52,8 +52,8 @@
         self._tried_backends: set[desired.BackendKey] = set()
         #: Whether the server of the last attempt closed the connection.
         self._connection_lost = False
-        #: Why admission refused the request, if it is sent as a probe all the
-        #: same.
+        #: Why admission refused the request, if it is sent to a spare server
+        #: all the same.
         self._not_admitted_reason: str | None = None
         #: When the last attempt was started.
         self._attempt_sent_at = checked.req.received_at
@@ -101,10 +101,10 @@
         choice = self._choose_backend()
         reason = self._refusal_reason(choice, is_caller_retry=is_caller_retry)
         if reason is not None:
-            probe = self._edge_state.choose_probe(self._checked.service)
-            if probe is not None:
+            spare = self._edge_state.choose_spare(self._checked.service)
+            if spare is not None:
                 self._not_admitted_reason = reason
-                return probe.best.backend
+                return spare.best.backend
         if choice is None or reason is not None:
             raise self._refusal_error(choice, reason)
         return choice.best.backend
@@ -154,6 +154,11 @@
     def _refusal_error(
         self, choice: backend_choice.BackendChoice | None, reason: str | None
     ) -> request_errors.RequestError:
+        limit_wait = self._edge_state.remaining_limit_wait(
+            self._checked.service
+        )
+        if limit_wait is not None:
+            return request_errors.all_limited(limit_wait, self._rng)
         if choice is not None:
             return request_errors.overloaded(
                 reason or "", self._time_left(), self._rng
@@ -299,6 +304,11 @@
                 "the backend server broke off its answer"
             )
         elif action is retry_policy.Action.REFUSE:
+            limit_wait = self._edge_state.remaining_limit_wait(
+                self._checked.service
+            )
+            if limit_wait is not None:
+                raise request_errors.all_limited(limit_wait, self._rng)
             if self._not_admitted_reason is not None:
                 raise request_errors.overloaded(
                     self._not_admitted_reason, self._time_left(), self._rng
--- a/src/lugcross/edge/retry_policy.py
+++ b/src/lugcross/edge/retry_policy.py
@@ -17,8 +17,8 @@
 class AttemptOutcome(enum.Enum):
     """How an attempt ended without a complete successful response.
 
-    ``UNREACHED``: nothing was sent, as no connection could be made or the
-        backend server asked for a backoff meanwhile.
+    ``UNREACHED``: nothing was sent, as no connection could be made, or the
+        backend server asked for a backoff or reached its limit meanwhile.
     ``NOT_RUN``: the backend server stated that it did not run the request.
     ``FAILED``: the backend server ran the request and answered with an error.
     ``BROKEN``: the attempt broke off; the request may have run or not.
@@ -52,7 +52,8 @@
 
     ``MAY_HAVE_RUN``: it must not run twice and may have run already.
     ``NO_ATTEMPTS``: it has used up the attempts that its route allows.
-    ``NOT_ADMITTED``: it was only let through as a probe of a refusing server.
+    ``NOT_ADMITTED``: it was only let through to a server that does not count
+        as capacity.
     ``CRASHES``: it may be what crashes its servers.
     ``NO_SERVER``: there is no other server that it may go to.
     ``NO_BUDGET``: the retry budget is used up.
--- a/src/lugcross/edge/state_sync.py
+++ b/src/lugcross/edge/state_sync.py
@@ -15,6 +15,7 @@
 from lugcross import desired
 from lugcross.edge import edge_state as edge_state_lib
 from lugcross.edge import lag as lag_lib
+from lugcross.edge import limit_reports
 from lugcross.edge import messages
 from lugcross.edge import peer_sync as peer_sync_lib
 from lugcross.edge import peers as peers_lib
@@ -136,6 +137,8 @@
             settings, store, self.peers, clock=clock, rng=rng
         )
         edge_state.count_known_peers = self.peers.count
+        edge_state.limits.own_address = settings.listen.peers
+        edge_state.limits.known_processes = self.peers.staying_addresses
         edge_state.crash_tracker.on_change = functools.partial(
             self.peers.schedule_send, urgent=True
         )
@@ -359,6 +362,9 @@
             server_reports=refusal_reports.own_messages(
                 self._edge_state.refusing, self._clock.monotonic()
             ),
+            server_limits=limit_reports.own_messages(
+                self._edge_state.limits, self._clock.monotonic()
+            ),
         )
 
     def _store_answer_age_ms(self, topic: str) -> int:
@@ -395,6 +401,9 @@
         refusal_reports.merge(
             self._edge_state.refusing, heartbeat, self._clock.monotonic()
         )
+        limit_reports.merge(
+            self._edge_state.limits, heartbeat, self._clock.monotonic()
+        )
         for name in heartbeat.leaving_backends:
             self._edge_state.backends.mark_leaving(desired.BackendKey(name))
         self.on_peer_generation(experts.Generation(heartbeat.lease_generation))
--- a/src/lugcross/platform/__init__.py
+++ b/src/lugcross/platform/__init__.py
@@ -10,6 +10,7 @@
 from lugcross.platform.backend_headers import headers_to_caller
 from lugcross.platform.backend_headers import NOT_EXECUTED_STATUSES
 from lugcross.platform.backend_headers import parse_backend_response_head
+from lugcross.platform.backend_headers import RateLimit
 from lugcross.platform.backend_headers import ServerLoad
 from lugcross.platform.caller_headers import CallerRequestHead
 from lugcross.platform.caller_headers import parse_caller_request_head
@@ -44,6 +45,7 @@
     "EngineClient",
     "EngineQueryError",
     "KeyedRecord",
+    "RateLimit",
     "ReadResult",
     "ServerLoad",
     "StoreClient",
--- a/src/lugcross/platform/backend_headers.py
+++ b/src/lugcross/platform/backend_headers.py
@@ -75,6 +75,20 @@
     slots: int
 
 
+@final
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class RateLimit:
+    """What a response says of the requests that its server takes.
+
+    :param stated: whether the header is set, even if it is invalid.
+    :param per_s: requests a second from all processes together; None if the
+        header is not set or invalid.
+    """
+
+    stated: bool
+    per_s: float | None
+
+
 @final
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class BackendResponseHead:
@@ -94,6 +108,7 @@
         none if not sent.
     :param retry_after: how long this process must send the server nothing;
         none unless the status is 429 or 5xx and the header is set.
+    :param rate_limit: limit on the requests of all processes, if any.
     :param leaving: whether the server announces that it is leaving.
     """
 
@@ -106,6 +121,7 @@
     load: ServerLoad | None
     keep_alive: datetime.timedelta | None
     retry_after: datetime.timedelta | None
+    rate_limit: RateLimit
     leaving: bool
 
     @property
@@ -193,6 +209,7 @@
         retry_after=_parse_retry_after(headers)
         if _is_overload_or_server_error(status)
         else None,
+        rate_limit=_parse_rate_limit(headers),
         leaving=header_names.header_text(values, header_names.SERVER_LEAVING)
         == _HEADER_TRUE,
     )
@@ -241,6 +258,25 @@
     return datetime.timedelta(seconds=longest) if longest else None
 
 
+def _parse_rate_limit(headers: _RawHeaders) -> RateLimit:
+    """Return the lowest limit of all ``Server-Limit`` fields."""
+    server_limit = header_names.SERVER_LIMIT.lower()
+    values = [value for name, value in headers if name == server_limit]
+    rates = [rate for rate in map(_parse_rate, values) if rate is not None]
+    return RateLimit(stated=bool(values), per_s=min(rates, default=None))
+
+
+def _parse_rate(value: bytes) -> float | None:
+    if b"_" in value:
+        # float() takes underscores between digits.
+        return None
+    try:
+        rate = float(value)
+    except ValueError:
+        return None
+    return rate if math.isfinite(rate) and rate >= 0 else None
+
+
 def _parse_seconds(value: bytes) -> float:
     """Return a number of seconds, at most an hour; 0 if it is invalid.
 
--- a/src/lugcross/platform/header_names.py
+++ b/src/lugcross/platform/header_names.py
@@ -32,6 +32,9 @@
 NOT_EXECUTED = b"Not-Executed"
 #: Running requests, waiting requests and slots, separated by commas.
 SERVER_LOAD = b"Server-Load"
+#: Requests a second, as a decimal number, that the backend server takes from
+#: all processes together for as long as it says so.
+SERVER_LIMIT = b"Server-Limit"
 #: "1" if the backend server is leaving.
 SERVER_LEAVING = b"Server-Leaving"
 #: Era of the store, in all its responses: rises each time that the store comes
--- a/testing/support/crash_rig.py
+++ b/testing/support/crash_rig.py
@@ -86,6 +86,8 @@
         slot; None to refuse without one.
     :param refused_ratio: fraction of the requests that it refuses at once,
         without asking for a backoff, however many it is running.
+    :param limit: limit on the requests of all processes that its answers
+        state, as a header value; None to state none.
     :param slots: requests that it runs at once.
     :param leaving: whether its answers say that it is leaving.
     :param crashed: set when the current life crashes.
@@ -98,6 +100,7 @@
     backoff_s: float | None = None
     backoff_when_full_s: float | None = None
     refused_ratio: float = 0.0
+    limit: bytes | None = None
     slots: int = SLOTS_PER_SERVER
     leaving: bool = False
     crashed: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
@@ -162,6 +165,8 @@
         server = self._server
         if not server.up or server.name != self._server_name:
             raise self._broken()
+        if server.limit is not None:
+            self._fleet.record_limited(self._body, server)
         if self._headers[b"expected-instance"].decode() != server.name:
             return self._answer(421, (b"not-executed", b"1"))
         if server.backoff_s is not None:
@@ -202,6 +207,8 @@
         found = [(b"attempt-identifier", attempt), *headers]
         if self._server.leaving:
             found.append((b"server-leaving", b"1"))
+        if self._server.limit is not None:
+            found.append((b"server-limit", self._server.limit))
         return http1.ResponseHead(status, found, found)
 
     async def read_body(self) -> bytes:
@@ -234,6 +241,7 @@
         refuses, so that the load does not depend on it.
     :ivar sends: requests that servers started to run.
     :ivar refusals: requests that servers refused, asking for a backoff.
+    :ivar limited: requests that reached servers which state a limit.
     :ivar crashes: times and server ids of all crashes.
     :ivar answers: answers to all requests.
     """
@@ -250,6 +258,7 @@
         self.crashing_bodies: set[bytes] = set()
         self.sends: list[Send] = []
         self.refusals: list[Send] = []
+        self.limited: list[Send] = []
         self.crashes: list[tuple[float, str]] = []
         self.answers: list[Answer] = []
         self._ids = itertools.count()
@@ -329,6 +338,11 @@
         now = asyncio.get_running_loop().time()
         self.sends.append(Send(now, body, _current_node.get(), server.name))
 
+    def record_limited(self, body: bytes, server: Server) -> None:
+        """Record that a request reached a server that states a limit."""
+        now = asyncio.get_running_loop().time()
+        self.limited.append(Send(now, body, _current_node.get(), server.name))
+
     def record_refusal(self, body: bytes, server: Server) -> None:
         """Record that a server has refused a request and asked to back off."""
         now = asyncio.get_running_loop().time()
