Hold the ports of test fleets, and fail a soak whose process has ended

Seen: two soak runs beside other load; one hung until its limit and left its processes, one was refused at a metrics port.

Cause, as far as it can be shown: ports were chosen some time before a process listened on them. A process whose port is taken ends, and the rig waited for it without end. The logs of the two runs are gone; a trial that takes a port gives both pictures.

Change: a bound socket holds each port; the rig fails at once with the end of the log; a run has 100 s and stops its processes however it ends.

With it the soak's servers state limits: three processes, two of four servers that take 2 a second each. The checker is fed histories just within and beyond.

--- a/testing/edge/test_process.py
+++ b/testing/edge/test_process.py
@@ -90,7 +90,7 @@
         entry = rig.backend_entry("app", backend_address, "d1", slots=2)
         store.append("keyed.servers", "i-1", entry)
         ports = {
-            name: rig.free_port()
+            name: rig.reserve_port()
             for name in ("callers", "ready", "state", "metrics")
         }
         text = SETTINGS.format(store=address, **ports)
--- a/testing/edge/test_state_sync.py
+++ b/testing/edge/test_state_sync.py
@@ -35,7 +35,7 @@
     """One process's knowledge, without callers."""
 
     def __init__(self, name: str, store: str, seeds: tuple[str, ...]) -> None:
-        port = edge_rig.free_port()
+        port = edge_rig.reserve_port()
         self.state = f"{HOST}:{port}"
         settings = settings_lib.Settings(
             node=name,
--- a/testing/soak/test_checks.py
+++ b/testing/soak/test_checks.py
@@ -141,6 +141,36 @@
     assert all(part in one for part, one in zip(messages, found, strict=True))
 
 
+@pytest.mark.parametrize(
+    ("count", "limit", "senders", "reported"),
+    [
+        pytest.param(18, 2.0, 1, True, id="one-sender"),
+        pytest.param(18, 2.0, 3, True, id="three-senders"),
+        pytest.param(17, 2.0, 3, False, id="just-allowed"),
+        pytest.param(18, 2.5, 3, False, id="higher-limit"),
+        pytest.param(6, 0.0, 1, True, id="limit-of-0"),
+        pytest.param(18, None, 1, False, id="no-limit"),
+    ],
+)
+def test_requests_beyond_a_limit_are_reported(count, limit, senders, reported):
+    first = [
+        _received_request(0.0, sender=f"n{num}-1", limit=limit)
+        for num in range(senders)
+    ]
+    later = [
+        _received_request(
+            3.0 + num * 0.2, sender=f"n{num % senders}-1", limit=limit
+        )
+        for num in range(count)
+    ]
+    unaware = [
+        _received_request(4.0, sender=f"n{num}-2", limit=limit)
+        for num in range(9)
+    ]
+    history = checks.History(received=first + later + unaware)
+    assert bool(history.violations()) is reported
+
+
 @pytest.mark.parametrize(
     ("call", "ran"),
     [
--- a/testing/soak/test_soak.py
+++ b/testing/soak/test_soak.py
@@ -35,6 +35,13 @@
 #: off, at first and after each of the five backoffs that fit into the test.
 MAX_REFUSED = 2 * PROCESSES * 6
 _POLL_S = 0.02
+#: Less than the time limit of a test, so that a run that hangs stops its
+#: processes.
+RUN_TIMEOUT_S = 100.0
+#: Requests a second that a limited server takes, and rounds of requests in
+#: that test: they last for the contact bound and two intervals.
+SERVER_LIMIT = 2.0
+LIMIT_ROUNDS = 450
 CALLERS_PER_PROCESS = 2
 REQUESTS_PER_ROUND = 6
 
@@ -53,19 +60,18 @@
         self._unused_processes: list[soak_fleet.EdgeProcess] = []
 
     async def run(self) -> soak_checks.History:
-        await self.fleet.start()
-        callers = [
-            soak_fleet.Caller(one.ports["callers"], self.fleet.history)
-            for one in self.fleet.processes
-            for _ in range(CALLERS_PER_PROCESS)
-        ]
-        try:
-            for _ in range(ROUNDS):
-                await self._one_round(callers)
-        finally:
-            for caller in callers:
-                caller.close()
-            await self.fleet.stop()
+        async with asyncio.timeout(RUN_TIMEOUT_S), self.fleet:
+            callers = [
+                soak_fleet.Caller(one.ports["callers"], self.fleet.history)
+                for one in self.fleet.processes
+                for _ in range(CALLERS_PER_PROCESS)
+            ]
+            try:
+                for _ in range(ROUNDS):
+                    await self._one_round(callers)
+            finally:
+                for caller in callers:
+                    caller.close()
         return self.fleet.history
 
     async def _one_round(self, callers: list[soak_fleet.Caller]) -> None:
@@ -228,11 +234,8 @@
         fleet = soak_fleet.Fleet(
             tmp_path, processes=PROCESSES, servers=SERVERS
         )
-        await fleet.start()
-        try:
+        async with asyncio.timeout(RUN_TIMEOUT_S), fleet:
             calls = await _send_crashing_requests(fleet, kind)
-        finally:
-            await fleet.stop()
         return fleet, calls
 
     fleet, calls = asyncio.run(main())
@@ -242,14 +245,16 @@
     assert fleet.history.violations() == []
 
 
-async def _send_from_all(fleet: soak_fleet.Fleet, batch: str) -> int:
+async def _send_from_all(
+    fleet: soak_fleet.Fleet, batch: str, rounds: int = BACKOFF_ROUNDS
+) -> int:
     """Send requests to all processes; return how many were served."""
     callers = [
         soak_fleet.Caller(one.ports["callers"], fleet.history)
         for one in fleet.processes
     ]
     served = 0
-    for count in range(BACKOFF_ROUNDS):
+    for count in range(rounds):
         asked = [
             caller.send(f"{num}-{batch}-{count}", soak_checks.RequestKind.SAFE)
             for num, caller in enumerate(callers)
@@ -269,8 +274,7 @@
         fleet = soak_fleet.Fleet(
             tmp_path, processes=PROCESSES, servers=SERVERS
         )
-        await fleet.start()
-        try:
+        async with asyncio.timeout(RUN_TIMEOUT_S), fleet:
             fleet.servers[0].backoff_s = fleet.servers[1].backoff_s = BACKOFF_S
             fleet.servers[2].leaving = True
             served = await _send_from_all(fleet, "a")
@@ -278,8 +282,6 @@
             await fleet.wait_until_serving()
             fleet.servers[0].backoff_s = 0.0
             served += await _send_from_all(fleet, "b")
-        finally:
-            await fleet.stop()
         return fleet.history, served
 
     history, served = asyncio.run(main())
@@ -290,6 +292,30 @@
     assert served >= 2 * BACKOFF_ROUNDS * PROCESSES - MAX_REFUSED
 
 
+def test_servers_get_no_more_than_the_limits_that_they_state(
+    tmp_path: pathlib.Path,
+):
+    async def main():
+        fleet = soak_fleet.Fleet(
+            tmp_path, processes=PROCESSES, servers=SERVERS
+        )
+        async with asyncio.timeout(RUN_TIMEOUT_S), fleet:
+            fleet.servers[0].limit = fleet.servers[1].limit = SERVER_LIMIT
+            served = await _send_from_all(fleet, "a", LIMIT_ROUNDS)
+            await fleet.processes[0].restart(signal.SIGTERM)
+            await fleet.wait_until_serving()
+            fleet.servers[0].limit = None
+            served += await _send_from_all(fleet, "b", LIMIT_ROUNDS)
+        return fleet, served
+
+    fleet, served = asyncio.run(main())
+    assert fleet.history.violations() == []
+    limited = [one for one in fleet.history.received if one.limit is not None]
+    assert len(limited) > SERVER_LIMIT * soak_checks.LIMIT_WINDOW_S
+    # The two other servers have room for all requests.
+    assert served == 2 * LIMIT_ROUNDS * PROCESSES
+
+
 @pytest.mark.parametrize(
     "seed",
     sorted({*range(FIRST_SEED, FIRST_SEED + SEED_COUNT), *REGRESSION_SEEDS}),
--- a/testing/support/edge_rig.py
+++ b/testing/support/edge_rig.py
@@ -95,11 +95,21 @@
     return random.Random(1)
 
 
-def free_port() -> int:
-    """Return a port that is currently free."""
-    with socket.socket() as sock:
-        sock.bind((HOST, 0))
-        port: int = sock.getsockname()[1]
+#: Sockets that hold the reserved ports until the tests end.
+_reserving_sockets: list[socket.socket] = []
+
+
+def reserve_port() -> int:
+    """Return a port that no other process is given until the tests end.
+
+    A socket stays bound to it without listening. Servers may listen on it all
+    the same, since they set ``SO_REUSEADDR`` too.
+    """
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.bind((HOST, 0))
+    _reserving_sockets.append(sock)
+    port: int = sock.getsockname()[1]
     return port
 
 
--- a/testing/support/soak_checks.py
+++ b/testing/support/soak_checks.py
@@ -26,6 +26,16 @@
 MAX_IN_FLIGHT_REQUESTS = 2
 #: Time after which a server that said it leaves must get no requests.
 LEAVING_GRACE_S = 2.0
+#: Time from a server's first statement of a limit until all processes go by
+#: it, and time after which a process does that has read a response with it.
+LIMIT_CONTACT_S = 3.0
+LIMIT_READ_S = 0.5
+#: Length of the intervals in which requests to a limited server are counted.
+LIMIT_WINDOW_S = 4.0
+#: In an interval a server may get this many times what its limit allows, and
+#: so many requests besides.
+LIMIT_FACTOR = 1.5
+LIMIT_EXTRA_REQUESTS = 5
 EVENTS_PER_STREAM = 6
 
 
@@ -78,6 +88,8 @@
     :param backoff_s: backoff that the server asked for in its answer, or 0.
     :param leaving: whether the server was leaving, which its answers say
         unless they ask for a backoff.
+    :param limit: requests a second from all processes that its answers state
+        as its limit unless they ask for a backoff; None if they state none.
     """
 
     server: str
@@ -85,6 +97,7 @@
     received_s: float
     backoff_s: float = 0.0
     leaving: bool = False
+    limit: float | None = None
 
 
 @dataclasses.dataclass
@@ -114,6 +127,7 @@
             *_version_regressions(self.versions),
             *self._sent_during_backoff(),
             *self._sent_to_leaving_servers(),
+            *self._sent_beyond_limits(),
             *self.errors,
         ]
 
@@ -164,6 +178,24 @@
             if first.leaving and self._later_requests(first, LEAVING_GRACE_S):
                 yield f"{first.server}: requests after the grace for leaving"
 
+    def _sent_beyond_limits(self) -> Iterable[str]:
+        """Yield the servers that got more than the limit that they state.
+
+        A server states one limit for as long as it states any.
+        """
+        by_server: dict[str, list[ReceivedRequest]] = {}
+        for one in self.received:
+            if one.limit is not None:
+                by_server.setdefault(one.server, []).append(one)
+        for server, requests in by_server.items():
+            limit = requests[0].limit or 0.0
+            allowed = (
+                LIMIT_FACTOR * limit * LIMIT_WINDOW_S + LIMIT_EXTRA_REQUESTS
+            )
+            most = _most_in_interval(_counted_times(requests))
+            if most > allowed:
+                yield f"{server}: {most} requests beyond its limit"
+
     def _later_requests(
         self, first: ReceivedRequest, delay_s: float
     ) -> list[ReceivedRequest]:
@@ -186,6 +218,28 @@
                 yield f"{call.name}: truncated by a planned stop"
 
 
+def _counted_times(requests: Sequence[ReceivedRequest]) -> list[float]:
+    """Return when requests came whose senders had to go by the limit."""
+    first_read: dict[str, float] = {}
+    since = requests[0].received_s + LIMIT_CONTACT_S
+    counted = []
+    for one in requests:
+        read = first_read.setdefault(one.sender, one.received_s)
+        if one.received_s >= max(since, read + LIMIT_READ_S):
+            counted.append(one.received_s)
+    return counted
+
+
+def _most_in_interval(times: Sequence[float]) -> int:
+    return max(
+        (
+            sum(begin <= at < begin + LIMIT_WINDOW_S for at in times)
+            for begin in times
+        ),
+        default=0,
+    )
+
+
 def _version_regressions(versions: Sequence[AppliedVersion]) -> Iterable[str]:
     newest_by_run: dict[str, int] = {}
     for one in versions:
--- a/testing/support/soak_fleet.py
+++ b/testing/support/soak_fleet.py
@@ -30,6 +30,10 @@
 CRASHING_PATH = "ending"
 
 
+#: Longest part of a log that an error quotes.
+_MAX_LOG_CHARS = 500
+
+
 class BackendServer:
     """A backend server that counts how often it ran each request."""
 
@@ -43,6 +47,9 @@
         self.backoff_s = 0.0
         #: Whether its answers say that it is leaving.
         self.leaving = False
+        #: Requests a second from all processes to which its answers limit
+        #: them; None for no limit.
+        self.limit: float | None = None
         #: Called with the name of each request and the backoff it is answered
         #: with, in seconds.
         self.on_request: Callable[[str, float], None] = (
@@ -97,6 +104,8 @@
         )
         if self.leaving:
             writer.write(b"Server-Leaving: 1\r\n")
+        if self.limit is not None:
+            writer.write(b"Server-Limit: %g\r\n" % self.limit)
         if kind is soak_checks.RequestKind.STREAM:
             last = int(headers.get(b"last-event-id", b"0"))
             await self._stream(writer, name, last)
@@ -120,6 +129,10 @@
         writer.write(b"0\r\n\r\n")
 
 
+class ProcessEndedError(Exception):
+    """An edge process has ended that nobody ended."""
+
+
 class EdgeProcess:
     """An edge process, which keeps its ports when it is restarted."""
 
@@ -134,7 +147,7 @@
         self.store_proxy = store_proxy
         self.start_count = 0
         self.ports = {
-            what: edge_rig.free_port()
+            what: edge_rig.reserve_port()
             for what in ("callers", "ready", "state", "peers", "metrics")
         }
         listen = {what: f"{HOST}:{port}" for what, port in self.ports.items()}
@@ -176,15 +189,32 @@
 
     async def restart(self, num: signal.Signals) -> None:
         """End the process by a signal, wait for it and start it again."""
+        await self.stop(num)
+        await self.start()
+
+    async def stop(self, num: signal.Signals = signal.SIGKILL) -> None:
+        """End the process by a signal and wait for it."""
         self.signal(num)
         # A paused process handles SIGTERM only once it continues.
         self.signal(signal.SIGCONT)
         await self.wait()
-        await self.start()
+
+    @property
+    def running(self) -> bool:
+        """Whether the process has been started and has not ended."""
+        return self._proc is not None and self._proc.returncode is None
+
+    def check_running(self) -> None:
+        """Raise :class:`ProcessEndedError` if the process has ended."""
+        if not self.running:
+            log = self._log.read_text(encoding="utf-8")
+            raise ProcessEndedError(
+                f"{self.name} has ended by itself: {log[-_MAX_LOG_CHARS:]}"
+            )
 
     def signal(self, num: signal.Signals) -> None:
-        assert self._proc is not None
-        if self._proc.returncode is None:
+        if self.running:
+            assert self._proc is not None
             self._proc.send_signal(num)
 
     async def max_listed_crashes(self) -> int:
@@ -200,8 +230,8 @@
         return max((len(one["ends"]) for one in listed), default=0)
 
     async def wait(self) -> None:
-        assert self._proc is not None
-        await self._proc.wait()
+        if self._proc is not None:
+            await self._proc.wait()
 
     def applied_versions(self) -> list[soak_checks.AppliedVersion]:
         """Return the desired state versions that its log says it applied."""
@@ -246,6 +276,17 @@
         self._restart_tasks: set[asyncio.Task[None]] = set()
         self.version = 0
 
+    async def __aenter__(self) -> "Fleet":
+        try:
+            await self.start()
+        except BaseException:
+            await self.stop()
+            raise
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        await self.stop()
+
     async def start(self) -> None:
         """Start everything and wait until all processes serve requests."""
         _, _, port = (await self.store.start(HOST)).rpartition(":")
@@ -302,6 +343,7 @@
                 received_s=asyncio.get_running_loop().time(),
                 backoff_s=backoff_s,
                 leaving=server.leaving,
+                limit=server.limit,
             )
         )
 
@@ -318,9 +360,7 @@
     async def stop(self) -> None:
         """Kill all processes, collect their logs and close everything else."""
         for one in self.processes:
-            one.signal(signal.SIGCONT)
-            one.signal(signal.SIGKILL)
-            await one.wait()
+            await one.stop()
             self.history.versions += one.applied_versions()
             self.history.errors += one.non_log_lines()
             one.store_proxy.close()
@@ -385,6 +425,7 @@
                 caller.close()
                 if call.status == soak_checks.OK:
                     break
+                one.check_running()
                 await asyncio.sleep(0.05)
 
 
