Move the choice of a backend server into a module of its own

Moved as it was: choose_backend is selection.choose, choose_backend_for_suspect is selection.choose_for_suspect with the crash tracker as an argument. The test that counts looks at the eligible servers counts them there, with the same bound.

--- a/bench/admission.py
+++ b/bench/admission.py
@@ -58,7 +58,7 @@
 
 def _admit(edge_state: edge_state_lib.EdgeState) -> None:
     """Choose a backend server and read the load, as for one request."""
-    found = edge_state.choose_backend(SERVICE, ())
+    found = edge_state.selection.choose(SERVICE, ())
     assert found is not None
     edge_state.load_snapshot(
         SERVICE, least_busy_requests=found.least_busy_requests
--- a/bench/share_simulator.py
+++ b/bench/share_simulator.py
@@ -202,7 +202,7 @@
     def _admit(
         self, edge_state: edge_state_lib.EdgeState, name: str
     ) -> desired.BackendKey | None:
-        found = edge_state.choose_backend(SERVICE, ())
+        found = edge_state.selection.choose(SERVICE, ())
         if found is None:
             return None
         snapshot = edge_state.load_snapshot(
--- a/bench/suspect_policies.py
+++ b/bench/suspect_policies.py
@@ -29,8 +29,8 @@
 from lugcross import clock as clock_lib  # noqa: E402
 from lugcross import crash_suspects  # noqa: E402
 from lugcross.crash_suspects import registry as registry_lib  # noqa: E402
-from lugcross.edge import edge_state as edge_state_lib  # noqa: E402
 from lugcross.edge import messages  # noqa: E402
+from lugcross.edge import server_selection  # noqa: E402
 from lugcross.edge import suspect_gossip  # noqa: E402
 
 INTERVALS_S = (0.2, 1.0, 3.0)
@@ -45,8 +45,11 @@
     return False
 
 
-def _choose_any_backend(edge_state: edge_state_lib.EdgeState, plan, tried):
-    return edge_state.choose_backend(plan.service, tried)
+def _choose_any_backend(
+    selection: server_selection.ServerSelection, plan, crash_tracker, tried
+):
+    del crash_tracker
+    return selection.choose(plan.service, tried)
 
 
 def _ignore_merge(*args: object) -> bool:
@@ -60,8 +63,8 @@
     "refuse after 3": [
         (registry_lib.SuspectRegistry, "_is_only_explanation", _return_false),
         (
-            edge_state_lib.EdgeState,
-            "choose_backend_for_suspect",
+            server_selection.ServerSelection,
+            "choose_for_suspect",
             _choose_any_backend,
         ),
     ],
@@ -69,15 +72,15 @@
         (registry_lib, "CRASHES_TO_REFUSE", 2),
         (registry_lib, "CRASHES_TO_REFUSE_IF_MOST_UNRELATED", 2),
         (
-            edge_state_lib.EdgeState,
-            "choose_backend_for_suspect",
+            server_selection.ServerSelection,
+            "choose_for_suspect",
             _choose_any_backend,
         ),
     ],
     "2 if sure, anywhere": [
         (
-            edge_state_lib.EdgeState,
-            "choose_backend_for_suspect",
+            server_selection.ServerSelection,
+            "choose_for_suspect",
             _choose_any_backend,
         )
     ],
--- a/src/lugcross/edge/attempt.py
+++ b/src/lugcross/edge/attempt.py
@@ -321,7 +321,7 @@
                 self._backend.key, "another life has its address"
             )
         elif parsed_head.retry_after is None:
-            self._edge_state.record_refusal(self._backend)
+            self._edge_state.selection.record_refusal(self._backend)
         return retry_policy.AttemptOutcome.NOT_RUN
 
     def _check_head(self, parsed_head: platform.BackendResponseHead) -> None:
--- a/src/lugcross/edge/edge_state.py
+++ b/src/lugcross/edge/edge_state.py
@@ -2,9 +2,6 @@
 """State of an edge process that its decisions are based on."""
 
 from collections.abc import Callable
-from collections.abc import Collection
-from collections.abc import Sequence
-import dataclasses
 import datetime
 import random
 from typing import final
@@ -15,22 +12,13 @@
 from lugcross import crash_suspects
 from lugcross import desired
 from lugcross.edge import admission
-from lugcross.edge import backend_choice
-from lugcross.edge import backend_loads as backend_loads_lib
-from lugcross.edge import backends as backends_lib
-from lugcross.edge import checked_request
 from lugcross.edge import concurrency_limit as concurrency_limit_lib
 from lugcross.edge import connection_pool
 from lugcross.edge import crash_tracker as crash_tracker_lib
 from lugcross.edge import desired_history as desired_history_lib
-from lugcross.edge import eligible_servers as eligible_servers_lib
-from lugcross.edge import flagged_servers as flagged_servers_lib
 from lugcross.edge import metrics as metrics_lib
-from lugcross.edge import probe_allowance as probe_allowance_lib
-from lugcross.edge import refusing_servers as refusing_servers_lib
 from lugcross.edge import retry_policy
-from lugcross.edge import server_backoffs as server_backoffs_lib
-from lugcross.edge import server_limits as server_limits_lib
+from lugcross.edge import server_selection as server_selection_lib
 from lugcross.edge import settings as settings_lib
 from lugcross.edge import workspace_usage
 from lugcross import ids
@@ -39,34 +27,6 @@
 
 #: Fraction of the retry budget that retries after refusals may use.
 _REFUSED_BUDGET_FRACTION = 0.5
-#: Fraction of its slots up to which a server that refuses a request is not
-#: merely full. Requests that have just started at peers are not known yet.
-_MAX_BUSY_SLOT_FRACTION = 0.5
-
-
-@final
-@dataclasses.dataclass(frozen=True)
-class _CachedEligibleServers:
-    """Eligible servers of a service, and the inputs they were computed from.
-
-    :param listed: usable servers of the service.
-    :param filter_sets: the servers of broken groups, those that are backing
-        off and the slow ones, of all services.
-    :param servers: the result, which may include slow servers.
-    """
-
-    listed: tuple[desired.Backend, ...]
-    filter_sets: tuple[frozenset[desired.BackendKey], ...]
-    servers: eligible_servers_lib.EligibleServers
-
-    def is_current(
-        self,
-        listed: tuple[desired.Backend, ...],
-        filter_sets: tuple[frozenset[desired.BackendKey], ...],
-    ) -> bool:
-        """Return whether the inputs are the same objects as before."""
-        pairs = zip(self.filter_sets, filter_sets, strict=True)
-        return self.listed is listed and all(a is b for a, b in pairs)
 
 
 @final
@@ -79,6 +39,8 @@
     :ivar on_event_gap: called with each gap between two events of a stream.
     :ivar count_known_peers: returns how many peers may exist.
     :ivar desired: desired state in force; None before the first.
+    :ivar selection: what is known of the backend servers, and the choice among
+        them.
     """
 
     def __init__(
@@ -90,8 +52,6 @@
     ) -> None:
         self.bounds = settings.bounds
         self._clock = clock
-        self._rng = rng
-        self._own_domain = ids.DomainName(settings.domain)
         self._retry_budgets: dict[
             ids.ServiceName, routing.WindowedRetryBudget
         ] = {}
@@ -107,22 +67,21 @@
         self.count_known_peers: Callable[[], int] = lambda: 0
         self.desired: desired.DesiredState | None = None
         self.desired_history = desired_history_lib.DesiredHistory()
-        self.backends = backends_lib.Backends(
-            clock, max_drain_time=lambda: self.bounds.max_drain_time
-        )
-        self.loads = backend_loads_lib.BackendLoads(
-            clock, service_of=self.backends.service_of
+        self.selection = server_selection_lib.ServerSelection(
+            clock=clock,
+            rng=rng,
+            own_domain=ids.DomainName(settings.domain),
+            max_drain_time=lambda: self.bounds.max_drain_time,
         )
+        self.backends = self.selection.backends
+        self.loads = self.selection.loads
+        self.broken_group_servers = self.selection.broken_group_servers
+        self.slow_servers = self.selection.slow_servers
+        self.backoffs = self.selection.backoffs
+        self.limits = self.selection.limits
+        self.refusing = self.selection.refusing
         self.workspace_usage = workspace_usage.WorkspaceUsage(clock)
         self.workspace_usage.weights = settings.shares.weights
-        self.broken_group_servers = flagged_servers_lib.FlaggedServers(clock)
-        self.slow_servers = flagged_servers_lib.FlaggedServers(clock)
-        self.backoffs = server_backoffs_lib.ServerBackoffs(clock)
-        self.limits = server_limits_lib.ServerLimits(clock)
-        self.refusing = refusing_servers_lib.RefusingServers(clock)
-        self._probe_allowances: dict[
-            ids.ServiceName, probe_allowance_lib.ProbeAllowance
-        ] = {}
         self.pool = connection_pool.ConnectionPool(clock)
         self.metrics = metrics_lib.EdgeMetrics()
         self.crash_tracker = crash_tracker_lib.CrashTracker(
@@ -131,9 +90,6 @@
         self.crash_tracker.exempt_requests = _exempt_requests(
             settings.suspects
         )
-        self._eligible_servers: dict[
-            ids.ServiceName, _CachedEligibleServers
-        ] = {}
 
     def software_versions(self, service: ids.ServiceName) -> frozenset[str]:
         """Return the software versions that servers of ``service`` run."""
@@ -192,48 +148,6 @@
         found = self.desired.services.get(service)
         return found.engine if found else None
 
-    def eligible_servers(
-        self, service: ids.ServiceName
-    ) -> eligible_servers_lib.EligibleServers:
-        """Return the servers of ``service`` that new requests may go to."""
-        listed = self.backends.usable(service)
-        broken = self.broken_group_servers.servers()
-        backing_off = self.backoffs.servers()
-        slow = self.slow_servers.servers()
-        refusing = self.refusing.servers()
-        limited = self.limits.servers()
-        filter_sets = (broken, backing_off, refusing, limited, slow)
-        cached = self._eligible_servers.get(service)
-        if cached and cached.is_current(listed, filter_sets):
-            return cached.servers
-        unavailable = broken | backing_off | limited
-        usable = [one for one in listed if one.key not in unavailable]
-        accepting = [one for one in usable if one.key not in refusing]
-        usable = eligible_servers_lib.without_slow(accepting or usable, slow)
-        found = eligible_servers_lib.split_by_domain(
-            usable, own_domain=self._own_domain
-        )
-        self._eligible_servers[service] = _CachedEligibleServers(
-            listed, filter_sets, found
-        )
-        return found
-
-    def remaining_backoff(
-        self, service: ids.ServiceName
-    ) -> datetime.timedelta | None:
-        """Return the time until the first server's backoff ends.
-
-        :returns: 0 if a server is not backing off; None if the service has no
-            servers outside broken rank groups.
-        """
-        listed = self.backends.usable(service)
-        outside_broken_groups = {
-            one.key for one in listed
-        } - self.broken_group_servers.servers()
-        if outside_broken_groups - self.backoffs.servers():
-            return datetime.timedelta()
-        return self.backoffs.remaining(outside_broken_groups)
-
     def apply_response_head(
         self, backend: desired.Backend, head: platform.BackendResponseHead
     ) -> None:
@@ -289,7 +203,7 @@
         :param least_busy_requests: requests at the least busy server that was
             compared for the request; 0 if none was.
         """
-        servers = self.eligible_servers(service)
+        servers = self.selection.eligible_servers(service)
         return admission.LoadSnapshot(
             servers=len(servers),
             slots=servers.slots,
@@ -380,7 +294,7 @@
         engine = self.engine_spec(service)
         if engine is None:
             return
-        servers = self.eligible_servers(service)
+        servers = self.selection.eligible_servers(service)
         if not servers:
             return
         self.concurrency_limit(service).observe_event_gap(
@@ -392,198 +306,6 @@
             max_event_gap=max_event_gap,
         )
 
-    def choose_backend(
-        self,
-        service: ids.ServiceName,
-        tried: Collection[desired.BackendKey],
-    ) -> backend_choice.BackendChoice | None:
-        """Return the best server for a request, if there is any.
-
-        It is chosen from a random sample. If all servers of the sample have
-        been tried or are avoided, it is chosen from all eligible servers.
-
-        :param tried: servers that the request has been sent to.
-        """
-        servers = self.eligible_servers(service)
-        if not tried and self.probe_allowance(service).may_probe():
-            probe = self._choose_probe(service)
-            if probe is not None:
-                return probe
-        limited = self._limited_with_room(service)
-        found = self._choose_among(
-            [*servers.sample(self._rng), *limited], tried
-        )
-        if found is None or found.best.avoided:
-            found = self._choose_among([*servers.all, *limited], tried)
-        if not tried and (found is None or found.best.avoided):
-            found = self._choose_probe(service) or found
-        return found or self._choose_among(self._refusing(service), tried)
-
-    def choose_spare(
-        self, service: ids.ServiceName
-    ) -> backend_choice.BackendChoice | None:
-        """Return a server for a request that the service has no room for.
-
-        This is a server that limits its requests and takes one now, or a
-        refusing one that is due for a probe. Neither is counted as capacity.
-        """
-        limited = [
-            one
-            for one in self._limited_with_room(service)
-            if self.loads.requests_at(one.key) < one.slots
-            and not self.loads.is_avoided(one.key)
-        ]
-        return self._choose_among(limited, ()) or self._choose_probe(service)
-
-    def _choose_probe(
-        self, service: ids.ServiceName
-    ) -> backend_choice.BackendChoice | None:
-        """Return a refusing server that is due for a probe, if there is one.
-
-        It is the one whose last refusal was longest ago.
-        """
-        due = [
-            one
-            for one in self._refusing(service)
-            if not self.loads.is_avoided(one.key)
-        ]
-        if not due:
-            return None
-        oldest = min(
-            due, key=lambda one: self.refusing.last_refusal_at(one.key)
-        )
-        return self._choose_among([oldest], ())
-
-    def _refusing(self, service: ids.ServiceName) -> list[desired.Backend]:
-        """Return the refusing servers that may be sent a request now."""
-        return [
-            one
-            for one in self._listed_in(service, self.refusing.servers())
-            if self.limits.may_send(one.key)
-        ]
-
-    def _limited_with_room(
-        self, service: ids.ServiceName
-    ) -> list[desired.Backend]:
-        """Return the servers whose limit allows a request now."""
-        refusing = self.refusing.servers()
-        return [
-            one
-            for one in self._listed_in(service, self.limits.servers())
-            if one.key not in refusing and self.limits.may_send(one.key)
-        ]
-
-    def _listed_in(
-        self,
-        service: ids.ServiceName,
-        keys: frozenset[desired.BackendKey],
-    ) -> list[desired.Backend]:
-        """Return the servers of ``service`` among some, if not unavailable."""
-        if not keys:
-            return []
-        unavailable = (
-            self.broken_group_servers.servers() | self.backoffs.servers()
-        )
-        return [
-            one
-            for one in self.backends.usable(service)
-            if one.key in keys and one.key not in unavailable
-        ]
-
-    def remaining_limit_wait(
-        self, service: ids.ServiceName
-    ) -> datetime.timedelta | None:
-        """Return the time until a limited server takes a request again.
-
-        :returns: None if a server without a limit could be used, or if the
-            service has no server that limits its requests.
-        """
-        if not self.limits.servers() or self.eligible_servers(service):
-            return None
-        limited = self._listed_in(service, self.limits.servers())
-        return self.limits.remaining(one.key for one in limited)
-
-    def record_refusal(self, backend: desired.Backend) -> None:
-        """Record that a server refused a request and named no time."""
-        key = backend.key
-        self.loads.health(key).record_refusal(self._clock.monotonic())
-        if key in self.refusing.servers():
-            self.probe_allowance(backend.service).record_failed_probe()
-        # The refused request still counts as one of the server's.
-        others = self.loads.requests_at(key) - 1
-        if others <= backend.slots * _MAX_BUSY_SLOT_FRACTION:
-            self.refusing.record_refusal(key)
-
-    def probe_allowance(
-        self, service: ids.ServiceName
-    ) -> probe_allowance_lib.ProbeAllowance:
-        """Return this process's limit on probes of ``service``."""
-        return self._probe_allowances.setdefault(
-            service, probe_allowance_lib.ProbeAllowance()
-        )
-
-    def choose_backend_for_suspect(
-        self,
-        checked: checked_request.CheckedRequest,
-        tried: Collection[desired.BackendKey],
-    ) -> backend_choice.BackendChoice | None:
-        """Return a server for a crash suspect, if there is any.
-
-        Suspects of the same crashes go to different servers where enough of
-        them have a free slot.
-
-        :param tried: servers that the request has been sent to.
-        """
-        servers = [
-            *self.eligible_servers(checked.service).all,
-            *self._limited_with_room(checked.service),
-        ]
-        best_choice = self._choose_among(servers, tried)
-        free = {
-            one.key: one
-            for one, requests in zip(
-                servers,
-                self.loads.requests_at_each(one.key for one in servers),
-                strict=True,
-            )
-            if requests < one.slots
-            and one.key not in tried
-            and not self.loads.is_avoided(one.key)
-        }
-        key = self.crash_tracker.assign_server(checked, list(free))
-        if best_choice is None or key is None:
-            return best_choice
-        return backend_choice.BackendChoice(
-            backend_choice.Candidate(
-                backend=free[key], requests=self.loads.requests_at(key)
-            ),
-            best_choice.least_busy_requests,
-        )
-
-    def _choose_among(
-        self,
-        servers: Sequence[desired.Backend],
-        tried: Collection[desired.BackendKey],
-    ) -> backend_choice.BackendChoice | None:
-        request_counts = self.loads.requests_at_each(
-            one.key for one in servers
-        )
-        candidates = [
-            backend_choice.Candidate(
-                backend=one,
-                requests=count,
-                avoided=self.loads.is_avoided(one.key),
-                on_probation=self.loads.on_probation(one.key),
-                probing_after_backoff=self.loads.is_probing_after_backoff(
-                    one.key
-                ),
-            )
-            for one, count in zip(servers, request_counts, strict=True)
-        ]
-        return backend_choice.choose_backend(
-            candidates, own_domain=self._own_domain, tried=tried, rng=self._rng
-        )
-
     def retry_budget(
         self, service: ids.ServiceName
     ) -> routing.WindowedRetryBudget:
--- a/src/lugcross/edge/request_forwarder.py
+++ b/src/lugcross/edge/request_forwarder.py
@@ -73,7 +73,7 @@
         self._edge_state.retry_budget(self._checked.service).record_request(
             self._clock.monotonic()
         )
-        self._edge_state.probe_allowance(
+        self._edge_state.selection.probe_allowance(
             self._checked.service
         ).record_request()
         left = self._time_left()
@@ -101,7 +101,9 @@
         choice = self._choose_backend()
         reason = self._refusal_reason(choice, is_caller_retry=is_caller_retry)
         if reason is not None:
-            spare = self._edge_state.choose_spare(self._checked.service)
+            spare = self._edge_state.selection.choose_spare(
+                self._checked.service
+            )
             if spare is not None:
                 self._not_admitted_reason = reason
                 return spare.best.backend
@@ -154,7 +156,7 @@
     def _refusal_error(
         self, choice: backend_choice.BackendChoice | None, reason: str | None
     ) -> request_errors.RequestError:
-        limit_wait = self._edge_state.remaining_limit_wait(
+        limit_wait = self._edge_state.selection.remaining_limit_wait(
             self._checked.service
         )
         if limit_wait is not None:
@@ -163,7 +165,9 @@
             return request_errors.overloaded(
                 reason or "", self._time_left(), self._rng
             )
-        backoff = self._edge_state.remaining_backoff(self._checked.service)
+        backoff = self._edge_state.selection.remaining_backoff(
+            self._checked.service
+        )
         if backoff is not None:
             return self._all_backing_off_error(backoff)
         if self._edge_state.backends.usable(self._checked.service):
@@ -283,10 +287,12 @@
 
     def _choose_backend(self) -> backend_choice.BackendChoice | None:
         if self._is_suspect():
-            return self._edge_state.choose_backend_for_suspect(
-                self._checked, self._tried_backends
+            return self._edge_state.selection.choose_for_suspect(
+                self._checked,
+                self._edge_state.crash_tracker,
+                self._tried_backends,
             )
-        return self._edge_state.choose_backend(
+        return self._edge_state.selection.choose(
             self._checked.service, self._tried_backends
         )
 
@@ -304,7 +310,7 @@
                 "the backend server broke off its answer"
             )
         elif action is retry_policy.Action.REFUSE:
-            limit_wait = self._edge_state.remaining_limit_wait(
+            limit_wait = self._edge_state.selection.remaining_limit_wait(
                 self._checked.service
             )
             if limit_wait is not None:
@@ -313,7 +319,9 @@
                 raise request_errors.overloaded(
                     self._not_admitted_reason, self._time_left(), self._rng
                 )
-            backoff = self._edge_state.remaining_backoff(self._checked.service)
+            backoff = self._edge_state.selection.remaining_backoff(
+                self._checked.service
+            )
             if backoff:
                 raise self._all_backing_off_error(backoff)
             raise request_errors.unavailable(
--- a/testing/edge/test_map_manager.py
+++ b/testing/edge/test_map_manager.py
@@ -314,16 +314,22 @@
 def test_group_is_reported_broken_and_open_again():
     async def act(rig: Rig) -> None:
         await rig.rounds(2)
-        assert len(rig.edge_state.eligible_servers(SERVICE)) == RANK_COUNT
+        assert (
+            len(rig.edge_state.selection.eligible_servers(SERVICE))
+            == RANK_COUNT
+        )
         rig.engines.is_open = False
         before = rig.notification_count
         await rig.rounds(1)
-        assert not rig.edge_state.eligible_servers(SERVICE)
+        assert not rig.edge_state.selection.eligible_servers(SERVICE)
         assert len(rig.maps.servers_of_broken_groups()) == RANK_COUNT
         assert rig.notification_count > before
         rig.engines.is_open = True
         await rig.rounds(1)
-        assert len(rig.edge_state.eligible_servers(SERVICE)) == RANK_COUNT
+        assert (
+            len(rig.edge_state.selection.eligible_servers(SERVICE))
+            == RANK_COUNT
+        )
 
     run(act)
 
@@ -423,7 +429,10 @@
         rig.leadership.leads = False
         await rig.rounds(1)
         assert not rig.maps.servers_of_broken_groups()
-        assert len(rig.edge_state.eligible_servers(SERVICE)) == RANK_COUNT
+        assert (
+            len(rig.edge_state.selection.eligible_servers(SERVICE))
+            == RANK_COUNT
+        )
 
     run(act)
 
--- a/testing/edge/test_refusals.py
+++ b/testing/edge/test_refusals.py
@@ -12,13 +12,13 @@
 def _count_eligible_servers_calls(rig: edge_rig.Rig) -> list[None]:
     """Return a list that grows with each call of ``eligible_servers``."""
     calls: list[None] = []
-    eligible_servers = rig.edge_state.eligible_servers
+    eligible_servers = rig.edge_state.selection.eligible_servers
 
     def count(service: ids.ServiceName) -> list[desired.Backend]:
         calls.append(None)
         return eligible_servers(service)
 
-    rig.edge_state.eligible_servers = count
+    rig.edge_state.selection.eligible_servers = count
     return calls
 
 
