Count requests against a server's limit in one place, and look at it once

Found in reading the change again: test_server_limits.py and soak_checks each had the interval, the factor and the loop that finds the most requests; the tests call soak_checks now. The refusal where all servers have reached their limits was put together twice in request_forwarder; _all_limited_error does it. ServerLimits built its set again at each response of a limited server and for each report of a peer; it does when a server begins or ceases to state a limit.

--- a/src/lugcross/edge/request_forwarder.py
+++ b/src/lugcross/edge/request_forwarder.py
@@ -156,11 +156,9 @@
     def _refusal_error(
         self, choice: backend_choice.BackendChoice | None, reason: str | None
     ) -> request_errors.RequestError:
-        limit_wait = self._edge_state.selection.remaining_limit_wait(
-            self._checked.service
-        )
-        if limit_wait is not None:
-            return request_errors.all_limited(limit_wait, self._rng)
+        limited = self._all_limited_error()
+        if limited is not None:
+            return limited
         if choice is not None:
             return request_errors.overloaded(
                 reason or "", self._time_left(), self._rng
@@ -176,6 +174,18 @@
             )
         return request_errors.not_ready("no backend server is known")
 
+    def _all_limited_error(self) -> request_errors.RequestError | None:
+        """Return the refusal while all servers have reached their limits.
+
+        :returns: None if not all of them limit their requests.
+        """
+        wait = self._edge_state.selection.remaining_limit_wait(
+            self._checked.service
+        )
+        if wait is None:
+            return None
+        return request_errors.all_limited(wait, self._rng)
+
     def _all_backing_off_error(
         self, backoff: datetime.timedelta
     ) -> request_errors.RequestError:
@@ -310,11 +320,9 @@
                 "the backend server broke off its answer"
             )
         elif action is retry_policy.Action.REFUSE:
-            limit_wait = self._edge_state.selection.remaining_limit_wait(
-                self._checked.service
-            )
-            if limit_wait is not None:
-                raise request_errors.all_limited(limit_wait, self._rng)
+            limited = self._all_limited_error()
+            if limited is not None:
+                raise limited
             if self._not_admitted_reason is not None:
                 raise request_errors.overloaded(
                     self._not_admitted_reason, self._time_left(), self._rng
--- a/src/lugcross/edge/server_limits.py
+++ b/src/lugcross/edge/server_limits.py
@@ -157,7 +157,8 @@
                 limit.changed_at = now
                 limit.own_rate_until = now
             limit.report = report
-        self._rebuild()
+        if (report.rate_per_s is not None) != (report.key in self._servers):
+            self._rebuild()
 
     def may_send(self, key: desired.BackendKey) -> bool:
         """Return whether this process may send a server a request now."""
--- a/testing/edge/test_server_limits.py
+++ b/testing/edge/test_server_limits.py
@@ -13,6 +13,7 @@
 import crash_rig
 import edge_rig
 import pytest
+import soak_checks
 import virtual_time
 
 from lugcross import clock as clock_lib
@@ -26,36 +27,19 @@
 OTHER = desired.BackendKey("i-1")
 SECOND = datetime.timedelta(seconds=1)
 A_MOMENT = datetime.timedelta(milliseconds=50)
-CONTACT_S = edge_rig.BOUNDS.store_recovery_time.total_seconds()
 SETTLED_S = 4.0
-#: Length of the intervals in which the users count requests.
-WINDOW_S = 4.0
-#: Time after which a process that has read a limit must go by it.
-READ_S = 0.5
-#: In an interval a server gets at most this many times what its limit allows,
-#: and so many requests besides.
-MAX_FACTOR, MAX_EXTRA = 1.5, 5
 
 
 def _most_in_window(fleet: crash_rig.Fleet, server: str) -> int:
-    """Return the most requests that count in one interval.
-
-    A request counts if its process has read a response with the limit before.
-    """
-    sends = [one for one in fleet.limited if one.server == server]
-    first_read: dict[str, float] = {}
-    counted = []
-    for one in sends:
-        if one.at > first_read.setdefault(one.node, one.at) + READ_S:
-            counted.append(one.at)
-    since = sends[0].at + CONTACT_S
-    counted = [at for at in counted if at >= since]
-    return max(
-        (
-            sum(begin <= at < begin + WINDOW_S for at in counted)
-            for begin in counted
-        ),
-        default=0,
+    """Return the most requests that count in one interval."""
+    return soak_checks.most_limited_requests(
+        [
+            soak_checks.ReceivedRequest(
+                server=one.server, sender=one.node, received_s=one.at
+            )
+            for one in fleet.limited
+            if one.server == server
+        ]
     )
 
 
@@ -115,7 +99,7 @@
             monkeypatch, seed, limit, domains=domains, load_per_s=load_per_s
         )
         most[seed] = _most_in_window(fleet, fleet.servers[0].name)
-    allowed = MAX_FACTOR * WINDOW_S * float(limit) + MAX_EXTRA
+    allowed = soak_checks.allowed_requests(float(limit))
     assert max(most.values()) <= allowed, most
 
 
@@ -131,7 +115,7 @@
         ],
     )
     most = _most_in_window(fleet, fleet.servers[0].name)
-    assert most <= MAX_FACTOR * WINDOW_S * 3 + MAX_EXTRA
+    assert most <= soak_checks.allowed_requests(3.0)
 
 
 def test_a_limited_server_is_used_up_to_its_limit(monkeypatch):
@@ -264,9 +248,9 @@
         for limits in fleet:
             while limits.try_spend(KEY):
                 sent += 1
-        manual_clock.advance(WINDOW_S / 40 * SECOND)
-    assert sent <= MAX_FACTOR * WINDOW_S * rate + MAX_EXTRA
-    assert sent >= 0.6 * WINDOW_S * rate
+        manual_clock.advance(soak_checks.LIMIT_WINDOW_S / 40 * SECOND)
+    assert sent <= soak_checks.allowed_requests(rate)
+    assert sent >= 0.6 * soak_checks.LIMIT_WINDOW_S * rate
 
 
 @pytest.mark.parametrize(
--- a/testing/support/soak_checks.py
+++ b/testing/support/soak_checks.py
@@ -188,12 +188,8 @@
             if one.limit is not None:
                 by_server.setdefault(one.server, []).append(one)
         for server, requests in by_server.items():
-            limit = requests[0].limit or 0.0
-            allowed = (
-                LIMIT_FACTOR * limit * LIMIT_WINDOW_S + LIMIT_EXTRA_REQUESTS
-            )
-            most = _most_in_interval(_counted_times(requests))
-            if most > allowed:
+            most = most_limited_requests(requests)
+            if most > allowed_requests(requests[0].limit or 0.0):
                 yield f"{server}: {most} requests beyond its limit"
 
     def _later_requests(
@@ -218,6 +214,30 @@
                 yield f"{call.name}: truncated by a planned stop"
 
 
+def allowed_requests(limit: float) -> float:
+    """Return how many requests a server may get in one interval.
+
+    :param limit: requests a second that it states as its limit.
+    """
+    return LIMIT_FACTOR * limit * LIMIT_WINDOW_S + LIMIT_EXTRA_REQUESTS
+
+
+def most_limited_requests(requests: Sequence[ReceivedRequest]) -> int:
+    """Return the most requests that count against a limit in one interval.
+
+    :param requests: what one server received since it first stated a limit,
+        in order of time.
+    """
+    times = _counted_times(requests)
+    return max(
+        (
+            sum(begin <= at < begin + LIMIT_WINDOW_S for at in times)
+            for begin in times
+        ),
+        default=0,
+    )
+
+
 def _counted_times(requests: Sequence[ReceivedRequest]) -> list[float]:
     """Return when requests came whose senders had to go by the limit."""
     first_read: dict[str, float] = {}
@@ -230,16 +250,6 @@
     return counted
 
 
-def _most_in_interval(times: Sequence[float]) -> int:
-    return max(
-        (
-            sum(begin <= at < begin + LIMIT_WINDOW_S for at in times)
-            for begin in times
-        ),
-        default=0,
-    )
-
-
 def _version_regressions(versions: Sequence[AppliedVersion]) -> Iterable[str]:
     newest_by_run: dict[str, int] = {}
     for one in versions:
