Refuse a request after three crashes, and keep it to one rank group

One innocent request was refused where servers began to crash for another reason: it ran by chance at the first two, no other request was at both, it had run for as long at each, and no other server had crashed yet. Nothing tells such a request from a cause, so two crashes no longer suffice.

A third crash costs more where servers are ranks of groups, so a suspect now stays in the group that it may have broken. The process that manages expert maps reports a group as broken when it hears of a rank's crash instead of when the other ranks refuse, more than a second later. Each process remembers which servers were reported as broken with the crashed one and sends the suspect only to these; its caller gets 503 while they are not open. In a rank group a request whose server crashed before its first event is not sent on at once.

--- a/src/lugcross/crash_suspects/registry.py
+++ b/src/lugcross/crash_suspects/registry.py
@@ -12,10 +12,9 @@
 at the same time count as one: a popular request is running everywhere when a
 whole fleet goes down, and would otherwise be refused although it is innocent.
 
-- A request is refused after three crashes.
-- Two are enough if they single it out: no other request was running at both,
-  both happened after about the same run time, and no server that did not run
-  it crashed around the same time.
+- A request is refused after three crashes. Two are not enough: where servers
+  crash for other reasons, one request now and then runs at two of them in a
+  row, and nothing distinguishes it from a cause.
 - Four are needed if, around the same time, more servers crashed without the
   request than with it.
 - A request that completes is cleared of all earlier crashes.
@@ -31,28 +30,23 @@
 from lugcross import clock as clock_lib
 from lugcross.crash_suspects import fingerprint
 
-#: Crashes after which a request is refused, unless one of the next two cases
-#: applies. Each crash also fails the other requests of the server, and of its
-#: whole rank group if it belongs to one.
+#: Crashes after which a request is refused, unless the next case applies. Each
+#: crash also fails the other requests of the server, and of its whole rank
+#: group if it belongs to one.
 CRASHES_TO_REFUSE = 3
-#: The same if no other request can explain the crashes, this one had run for
-#: about as long at each of them, and no other server crashed around then.
-CRASHES_TO_REFUSE_IF_SINGLED_OUT = 2
 #: The same if around that time more servers crashed without the request than
 #: with it: an innocent request may be running at three of them by chance.
 CRASHES_TO_REFUSE_IF_MOST_UNRELATED = 4
-#: With fewer crashes a request is never refused.
-MIN_CRASHES_TO_REFUSE = CRASHES_TO_REFUSE_IF_SINGLED_OUT
+#: Crashes from which on a process does not send a request to another server
+#: itself. By the time its caller comes back, reports of other processes have
+#: arrived, and the next attempt may be one too many.
+CRASHES_TO_LEAVE_TO_CALLER = 2
 #: Time before and after a crash within which the crash of a server that did
 #: not run the request shows that servers also crash for other reasons: a rack
 #: or failure domain that loses power, or servers that restart in turn.
 UNRELATED_CRASH_WINDOW = datetime.timedelta(seconds=10)
-#: Minimum ratio of the shorter to the longer run time before two crashes that
-#: single out a request. The cause of a crash gets equally far each time, if
-#: more slowly on a busier server; an innocent request may be at any point.
-MIN_RUN_TIME_RATIO = 0.5
-#: Difference between two run times that is not significant: network latency,
-#: and a process that was busy when the connection broke.
+#: Time by which a run may seem to begin before the crash that it followed:
+#: network latency, and a process that was busy when the connection broke.
 RUN_TIME_TOLERANCE = datetime.timedelta(milliseconds=50)
 #: How long a crash counts against a request. After that its callers may try
 #: it again, at the cost of at least two more crashes if nothing was fixed.
@@ -223,7 +217,7 @@
 
         :param sent_at: when the answered request was sent.
         """
-        if server not in self._crashed_servers():
+        if server not in self.crashed_servers():
             return
         self._answered_sent_at[server] = sent_at
         for request, record in list(self._records.items()):
@@ -240,7 +234,11 @@
                 del self._records[request]
         self._crashed_servers_cache = None
 
-    def _crashed_servers(self) -> frozenset[str]:
+    def crashed_servers(self) -> frozenset[str]:
+        """Return the servers that crashed while they ran any known request.
+
+        Returns the same object as long as nothing has changed.
+        """
         if self._crashed_servers_cache is None:
             self._crashed_servers_cache = frozenset(
                 crash.server
@@ -310,7 +308,7 @@
         crashes = self.counted_crashes(request, software_versions, now)
         if not crashes:
             return SuspectStatus.NOT_SUSPECT
-        if len(crashes) >= MIN_CRASHES_TO_REFUSE and len(
+        if len(crashes) >= CRASHES_TO_REFUSE and len(
             crashes
         ) >= self._refusal_threshold(crashes):
             return SuspectStatus.REFUSED
@@ -319,12 +317,6 @@
     def _refusal_threshold(self, crashes: Collection[ServerCrash]) -> int:
         """Return the number of crashes after which to refuse a request."""
         others = self._unrelated_crashed_servers(crashes)
-        if (
-            not others
-            and len(crashes) == CRASHES_TO_REFUSE_IF_SINGLED_OUT
-            and self._is_only_explanation(crashes)
-        ):
-            return CRASHES_TO_REFUSE_IF_SINGLED_OUT
         return (
             CRASHES_TO_REFUSE
             if len(others) <= len(crashes)
@@ -352,22 +344,6 @@
             )
         }
 
-    def _is_only_explanation(self, crashes: Collection[ServerCrash]) -> bool:
-        """Return whether only one request can have caused all ``crashes``."""
-        shortest = min(crash.ran_for for crash in crashes)
-        longest = max(crash.ran_for for crash in crashes)
-        if (
-            shortest < MIN_RUN_TIME_RATIO * longest
-            and longest - shortest > RUN_TIME_TOLERANCE
-        ):
-            return False
-        servers = {crash.server for crash in crashes}
-        server_sets = (
-            {crash.server for crash in record.crashes_since_cleared}
-            for record in self._records.values()
-        )
-        return sum(servers <= others for others in server_sets) == 1
-
     def _is_disproved(self, crash: ServerCrash) -> bool:
         sent_at = self._answered_sent_at.get(crash.server)
         return sent_at is not None and crash.crashed_at < sent_at
--- a/src/lugcross/edge/crash_tracker.py
+++ b/src/lugcross/edge/crash_tracker.py
@@ -48,6 +48,12 @@
         self._crashed_at: dict[desired.BackendKey, clock_lib.Instant] = {}
         self._pending_checks: set[asyncio.Task[None]] = set()
         self.registry = crash_suspects.SuspectRegistry()
+        self._containment = crash_suspects.GroupContainment()
+        #: Called with all servers that are known to have crashed, when these
+        #: may have changed.
+        self.on_crashed_servers: Callable[[frozenset[str]], None] = (
+            lambda servers: None
+        )
         #: Requests that an operator allows to run whatever they crashed.
         self.exempt_requests: frozenset[crash_suspects.Fingerprint] = (
             frozenset()
@@ -110,24 +116,69 @@
         checked: checked_request.CheckedRequest,
         *,
         last_attempt_broke: bool,
+        within_rank_group: bool,
+        response_started: bool,
     ) -> bool:
         """Return whether a request may be sent to another server at once.
 
         :param last_attempt_broke: whether its last attempt broke off.
+        :param within_rank_group: whether the servers of its service are ranks
+            of groups.
+        :param response_started: whether the caller has part of the response.
         """
         if self.status(checked) is crash_suspects.SuspectStatus.REFUSED:
             return False
         if checked.fingerprint in self.exempt_requests:
             return True
-        # Once crashes may be enough to refuse the request, the retry is left
-        # to the caller: by the time it comes back, reports of other processes
-        # will have arrived.
+        # From some number of crashes on, the retry is left to the caller: by
+        # the time it comes back, reports of other processes will have
+        # arrived. In a rank group one crash is enough if the server crashed
+        # before its first event: the next crash could take down the next
+        # group. A request that has produced events has been read without
+        # a crash, so it is more likely to have run beside the cause.
+        limit = (
+            1
+            if within_rank_group and not response_started
+            else crash_suspects.CRASHES_TO_LEAVE_TO_CALLER
+        )
         return (
             not last_attempt_broke
-            or len(self.counted_crashes(checked))
-            < crash_suspects.MIN_CRASHES_TO_REFUSE
+            or len(self.counted_crashes(checked)) < limit
         )
 
+    def note_broken_groups(
+        self, servers: frozenset[desired.BackendKey]
+    ) -> None:
+        """Record the servers of groups that a process reports as broken."""
+        if len(self.registry):
+            self._containment.note_broken(
+                frozenset[str](servers), self.registry.crashed_servers()
+            )
+
+    def note_crash_reports(self) -> None:
+        """Handle reports of peers that were merged into the registry."""
+        self.on_crashed_servers(self.registry.crashed_servers())
+
+    def allowed_servers(
+        self,
+        checked: checked_request.CheckedRequest,
+        *,
+        response_started: bool,
+    ) -> frozenset[str] | None:
+        """Return the servers that a suspect may be sent to; None for any.
+
+        :param response_started: whether the caller has part of the response.
+            Such a request goes on in another group after its first crash, for
+            the reason given in :meth:`may_retry`.
+        """
+        crashes = self.counted_crashes(checked)
+        if (
+            response_started
+            and len(crashes) < crash_suspects.CRASHES_TO_LEAVE_TO_CALLER
+        ):
+            return None
+        return self._containment.servers_for(one.server for one in crashes)
+
     def assign_server(
         self,
         checked: checked_request.CheckedRequest,
@@ -194,6 +245,7 @@
             },
         )
         self.on_change()
+        self.on_crashed_servers(self.registry.crashed_servers())
         if status is crash_suspects.SuspectStatus.REFUSED:
             self.on_refused(checked.fingerprint)
 
@@ -242,6 +294,7 @@
         """Drop crashes older than :data:`crash_suspects.SUSPICION_TTL`."""
         now = self._clock.monotonic()
         self.registry.drop_expired(now)
+        self._containment.retain_only(self.registry.crashed_servers())
         for key, at in list(self._crashed_at.items()):
             if at <= now - crash_suspects.SUSPICION_TTL:
                 del self._crashed_at[key]
--- a/src/lugcross/edge/edge_state.py
+++ b/src/lugcross/edge/edge_state.py
@@ -2,6 +2,7 @@
 """State of an edge process that its decisions are based on."""
 
 from collections.abc import Callable
+from collections.abc import Collection
 import datetime
 import random
 from typing import final
@@ -148,6 +149,18 @@
         found = self.desired.services.get(service)
         return found.engine if found else None
 
+    def has_rank_groups(self, service: ids.ServiceName) -> bool:
+        """Return whether the servers of a service are ranks of groups."""
+        engine = self.engine_spec(service)
+        return engine is not None and engine.experts is not None
+
+    def report_broken_groups(
+        self, node: str, servers: Collection[desired.BackendKey]
+    ) -> None:
+        """Replace the servers of broken groups that a process reports."""
+        self.broken_group_servers.report(node, servers)
+        self.crash_tracker.note_broken_groups(frozenset(servers))
+
     def apply_response_head(
         self, backend: desired.Backend, head: platform.BackendResponseHead
     ) -> None:
--- a/src/lugcross/edge/map_manager.py
+++ b/src/lugcross/edge/map_manager.py
@@ -75,6 +75,7 @@
         self._node = node
         self._edge_state = edge_state
         edge_state.on_event_gap = self._on_event_gap
+        edge_state.crash_tracker.on_crashed_servers = self._on_crashed_servers
         self._clock = clock
         self._leadership = leadership
         self._sleep = sleep
@@ -114,6 +115,18 @@
                 self._clock.monotonic(), group.report_lag
             )
 
+    def _on_crashed_servers(self, servers: frozenset[str]) -> None:
+        """Report the groups of crashed ranks as broken at once.
+
+        Their other ranks report that only after they have stood still for
+        more than a second.
+        """
+        if not self._was_leader:
+            return
+        for group in self._groups.note_crashed_servers(servers):
+            self._note_break(group)
+            self._publish_state(group)
+
     def servers_of_broken_groups(self) -> list[desired.BackendKey]:
         """Return the backend servers of broken groups, if this is the leader.
 
@@ -152,7 +165,7 @@
         self._note_leadership(self._leadership.is_leader())
         if self._was_leader:
             await self._manage_all()
-        self._edge_state.broken_group_servers.report(
+        self._edge_state.report_broken_groups(
             self._node, self.servers_of_broken_groups()
         )
         self._edge_state.slow_servers.report(self._node, self.slow_servers())
@@ -247,7 +260,7 @@
             "group opened" if group.is_open else "group broken",
             extra={"group": group.name, "epoch": group.epoch},
         )
-        self._edge_state.broken_group_servers.report(
+        self._edge_state.report_broken_groups(
             self._node, self.servers_of_broken_groups()
         )
         self._on_group_state_change()
--- a/src/lugcross/edge/rank_groups.py
+++ b/src/lugcross/edge/rank_groups.py
@@ -32,6 +32,8 @@
     :param servers_by_rank: the backend server of each known rank; complete
         once it has ``rank_count`` entries.
     :param epoch: newest epoch that a rank has reported.
+    :param epoch_of_crash: epoch in which a rank has crashed; the group opens
+        again only in a later one, whatever its other ranks report meanwhile.
     :param is_open: whether the group accepts requests.
     :param current_map: the map in use, or None while it is unknown.
     :param armed_version: version that all ranks have been armed with by this
@@ -60,6 +62,7 @@
         default_factory=dict
     )
     epoch: experts.Epoch = experts.Epoch(0)
+    epoch_of_crash: experts.Epoch | None = None
     is_open: bool = False
     last_pass: experts.PassNumber = experts.PassNumber(0)
     version_in_use: experts.MapVersion = experts.MapVersion(0)
@@ -185,7 +188,7 @@
             # Plan again for the demand read before the group broke: it is
             # the best estimate until new counts have been read.
             self.planned_demand_read_at = None
-        self.is_open = report.is_open
+        self.is_open = report.is_open and self.epoch != self.epoch_of_crash
         self.last_pass = report.last_pass
         self.highest_version = max(
             self.highest_version, report.highest_version
@@ -238,6 +241,30 @@
     def __init__(self) -> None:
         self._groups: dict[tuple[ids.ServiceName, str], RankGroup] = {}
         self._group_by_server: dict[desired.BackendKey, RankGroup] = {}
+        self._noted_crashed_servers: frozenset[str] = frozenset()
+
+    def note_crashed_servers(self, servers: frozenset[str]) -> list[RankGroup]:
+        """Mark the groups of crashed ranks as not open.
+
+        :param servers: all servers that are known to have crashed. One that
+            is no longer among them has not crashed after all.
+        :returns: the groups that were open so far.
+        """
+        broken = []
+        for name in servers - self._noted_crashed_servers:
+            group = self._group_by_server.get(desired.BackendKey(name))
+            if group is None:
+                continue
+            group.epoch_of_crash = group.epoch
+            if group.is_open:
+                group.is_open = False
+                broken.append(group)
+        for name in self._noted_crashed_servers - servers:
+            group = self._group_by_server.get(desired.BackendKey(name))
+            if group is not None:
+                group.epoch_of_crash = None
+        self._noted_crashed_servers = servers
+        return broken
 
     def clear(self) -> None:
         """Forget all groups except those being switched by this process."""
--- a/src/lugcross/edge/request_forwarder.py
+++ b/src/lugcross/edge/request_forwarder.py
@@ -99,8 +99,14 @@
             self._checked.route.name
         ).is_caller_retry(self._checked.caller_head.time_left)
         choice = self._choose_backend()
+        if choice is None and self._is_suspect():
+            raise request_errors.unavailable(
+                "the rank group in which this request may have crashed a "
+                "server is not open",
+                self._time_left(),
+            )
         reason = self._refusal_reason(choice, is_caller_retry=is_caller_retry)
-        if reason is not None:
+        if reason is not None and not self._is_suspect():
             spare = self._edge_state.selection.choose_spare(
                 self._checked.service
             )
@@ -286,7 +292,12 @@
             return retry_policy.RetryObstacle.NO_SERVER
         broke = outcome is retry_policy.AttemptOutcome.BROKEN
         if not self._edge_state.crash_tracker.may_retry(
-            self._checked, last_attempt_broke=broke
+            self._checked,
+            last_attempt_broke=broke,
+            within_rank_group=self._edge_state.has_rank_groups(
+                self._checked.service
+            ),
+            response_started=self._state.response_started,
         ):
             return retry_policy.RetryObstacle.CRASHES
         if self._state.attempts_sent and not self._edge_state.spend_retry(
@@ -301,6 +312,7 @@
                 self._checked,
                 self._edge_state.crash_tracker,
                 self._tried_backends,
+                response_started=self._state.response_started,
             )
         return self._edge_state.selection.choose(
             self._checked.service, self._tried_backends
--- a/src/lugcross/edge/server_selection.py
+++ b/src/lugcross/edge/server_selection.py
@@ -274,18 +274,28 @@
         checked: checked_request.CheckedRequest,
         crash_tracker: crash_tracker_lib.CrashTracker,
         tried: Collection[desired.BackendKey],
+        *,
+        response_started: bool,
     ) -> backend_choice.BackendChoice | None:
         """Return a server for a crash suspect, if there is any.
 
         Suspects of the same crashes go to different servers where enough of
-        them have a free slot.
+        them have a free slot, all in the rank groups of these crashes.
 
         :param crash_tracker: knows the other suspects.
         :param tried: servers that the request has been sent to.
+        :param response_started: whether the caller has part of the response.
         """
+        allowed = crash_tracker.allowed_servers(
+            checked, response_started=response_started
+        )
         servers = [
-            *self.eligible_servers(checked.service).all,
-            *self._limited_with_room(checked.service),
+            one
+            for one in (
+                *self.eligible_servers(checked.service).all,
+                *self._limited_with_room(checked.service),
+            )
+            if allowed is None or one.key in allowed
         ]
         best_choice = self._choose_among(servers, tried)
         free = {
--- a/src/lugcross/edge/state_sync.py
+++ b/src/lugcross/edge/state_sync.py
@@ -394,10 +394,12 @@
             heartbeat.node, heartbeat.workspace_uses
         )
         broken = [desired.BackendKey(key) for key in heartbeat.broken_backends]
-        self._edge_state.broken_group_servers.report(heartbeat.node, broken)
+        self._edge_state.report_broken_groups(heartbeat.node, broken)
         slow = [desired.BackendKey(key) for key in heartbeat.slow_backends]
         self._edge_state.slow_servers.report(heartbeat.node, slow)
-        self._suspect_gossip.merge(heartbeat.suspects)
+        if heartbeat.suspects:
+            self._suspect_gossip.merge(heartbeat.suspects)
+            self._edge_state.crash_tracker.note_crash_reports()
         refusal_reports.merge(
             self._edge_state.refusing, heartbeat, self._clock.monotonic()
         )
--- a/src/lugcross/edge/suspect_gossip.py
+++ b/src/lugcross/edge/suspect_gossip.py
@@ -54,7 +54,7 @@
             for one in records
             if one not in changed
             and len(one.crashes_since_cleared)
-            >= crash_suspects.MIN_CRASHES_TO_REFUSE
+            >= crash_suspects.CRASHES_TO_LEAVE_TO_CALLER
         ]
         start = self._rotation_start % len(refusable) if refusable else 0
         self._rotation_start = start + _MAX_ROTATED_RECORDS
--- a/src/lugcross/edge/suspect_store.py
+++ b/src/lugcross/edge/suspect_store.py
@@ -70,7 +70,7 @@
         for record in self._registry.records():
             refusable = (
                 len(record.crashes_since_cleared)
-                >= crash_suspects.MIN_CRASHES_TO_REFUSE
+                >= crash_suspects.CRASHES_TO_REFUSE
             )
             if refusable and record.changed_at >= since:
                 self.save(record.request)
--- a/testing/edge/test_map_manager.py
+++ b/testing/edge/test_map_manager.py
@@ -334,6 +334,39 @@
     run(act)
 
 
+def test_group_of_a_crashed_rank_is_broken_until_its_next_epoch():
+    """Requests went to its other ranks until these reported it as broken.
+
+    They stood still for more than a second after the crash and reported the
+    group as open meanwhile.
+    """
+
+    async def act(rig: Rig) -> None:
+        await rig.rounds(2)
+        tracker = rig.edge_state.crash_tracker
+        tracker.on_crashed_servers(frozenset({"1"}))
+        assert not rig.edge_state.selection.eligible_servers(SERVICE)
+        await rig.rounds(1)
+        assert len(rig.maps.servers_of_broken_groups()) == RANK_COUNT
+        rig.engines.group.epoch += 1
+        await rig.rounds(1)
+        assert not rig.maps.servers_of_broken_groups()
+
+    run(act)
+
+
+def test_group_is_open_again_if_its_rank_has_not_crashed_after_all():
+    async def act(rig: Rig) -> None:
+        await rig.rounds(2)
+        tracker = rig.edge_state.crash_tracker
+        tracker.on_crashed_servers(frozenset({"1"}))
+        tracker.on_crashed_servers(frozenset())
+        await rig.rounds(1)
+        assert not rig.maps.servers_of_broken_groups()
+
+    run(act)
+
+
 def test_group_state_is_read_from_other_ranks_if_rank_0_is_unreachable():
     async def act(rig: Rig) -> None:
         await rig.rounds(1)
