Read evacuations and keep requests from evacuated domains

Nothing read the records evacuate/DOMAIN of the operator's topic, so that requests went on to servers that an operator had evacuated. The package evacuation decides which domains are evacuated from records of the log, of listings and of peers; server selection leaves their servers out, and an attempt checks again just before it sends. Heartbeats have a further field evacuations; the metrics address serves a gauge and /evacuations.

--- a/src/lugcross/edge/app.py
+++ b/src/lugcross/edge/app.py
@@ -18,6 +18,7 @@
 from lugcross import desired
 from lugcross.edge import edge_state as edge_state_lib
 from lugcross.edge import engine_transport
+from lugcross.edge import evacuation_reports
 from lugcross.edge import map_leadership
 from lugcross.edge import map_manager
 from lugcross.edge import metrics as metrics_lib
@@ -273,6 +274,7 @@
             peers=len(self.state_sync.peers.live()),
             connections=len(self._conns),
             suspects=len(self.edge_state.crash_tracker.registry),
+            edge_evacuated_domains=len(self.edge_state.evacuations.domains()),
         )
         self.edge_state.metrics.set_workspace_running(
             self.edge_state.workspace_usage.counts_by_service()
@@ -280,7 +282,16 @@
         serve = functools.partial(
             metrics_lib.serve,
             self.edge_state.metrics,
-            suspects_json=self.edge_state.crash_tracker.suspects_json,
+            json_lists={
+                metrics_lib.SUSPECTS_PATH: (
+                    self.edge_state.crash_tracker.suspects_json
+                ),
+                metrics_lib.EVACUATIONS_PATH: functools.partial(
+                    evacuation_reports.to_json,
+                    self.edge_state.evacuations,
+                    self.edge_state.backends,
+                ),
+            },
         )
         await self._serve_platform(reader, writer, serve)
 
--- a/src/lugcross/edge/attempt.py
+++ b/src/lugcross/edge/attempt.py
@@ -170,12 +170,14 @@
             except http1.NoConnectionError as exc:
                 self._report_failure(str(exc))
                 return retry_policy.AttemptOutcome.UNREACHED
-            if edge_state.backoffs.is_active(
-                self._backend.key
-            ) or not edge_state.limits.try_spend(self._backend.key):
-                # The server asked for a backoff, or reached its limit, while
-                # this attempt waited for its connection; many others may have
-                # waited with it.
+            if (
+                edge_state.selection.is_evacuated(self._backend)
+                or edge_state.backoffs.is_active(self._backend.key)
+                or not edge_state.limits.try_spend(self._backend.key)
+            ):
+                # The server was evacuated, asked for a backoff or reached its
+                # limit while this attempt waited for its connection; many
+                # others may have waited with it.
                 edge_state.pool.release(self._backend, conn, None)
                 return retry_policy.AttemptOutcome.UNREACHED
             return await self._run_on(conn)
--- a/src/lugcross/edge/edge_state.py
+++ b/src/lugcross/edge/edge_state.py
@@ -81,6 +81,7 @@
         self.backoffs = self.selection.backoffs
         self.limits = self.selection.limits
         self.refusing = self.selection.refusing
+        self.evacuations = self.selection.evacuations
         self.workspace_usage = workspace_usage.WorkspaceUsage(clock)
         self.workspace_usage.weights = settings.shares.weights
         self.pool = connection_pool.ConnectionPool(clock)
--- a/src/lugcross/edge/messages.py
+++ b/src/lugcross/edge/messages.py
@@ -9,6 +9,8 @@
 
 from lugcross import crash_suspects
 from lugcross.edge import patches
+from lugcross import evacuation
+from lugcross import positions
 
 #: Number of requests in progress; one process never has as many as the limit.
 _Count = Annotated[int, msgspec.Meta(ge=0, le=1_000_000)]
@@ -107,6 +109,21 @@
     age_ms: Annotated[int, msgspec.Meta(ge=0, le=MAX_LIMIT_AGE_MS)]
 
 
+@final
+class Evacuation(msgspec.Struct, frozen=True, array_like=True):
+    """Whether the operator requests the evacuation of a failure domain.
+
+    :param position: position of the record in the store.
+    """
+
+    domain: Annotated[
+        str,
+        msgspec.Meta(min_length=1, max_length=evacuation.MAX_DOMAIN_CHARS),
+    ]
+    position: Annotated[int, msgspec.Meta(ge=0, le=positions.MAX_POSITION)]
+    requested: bool
+
+
 @final
 class Heartbeat(msgspec.Struct, frozen=True, array_like=True):
     """State of one edge process, sent to its peers in a datagram.
@@ -147,6 +164,8 @@
     :param server_reports: backend servers that have lately refused requests
         of the sender, or accepted one after that.
     :param server_limits: some of the limits that backend servers state.
+    :param evacuations: failure domains that are evacuated, and those whose
+        evacuation was withdrawn lately.
     """
 
     node: str
@@ -172,6 +191,10 @@
     leaving_backends: list[_Name] = []
     server_reports: list[ServerReport] = []
     server_limits: list[ServerLimit] = []
+    evacuations: Annotated[
+        list[Evacuation],
+        msgspec.Meta(max_length=evacuation.MAX_RECORDS_TO_SEND),
+    ] = []
 
 
 @final
--- a/src/lugcross/edge/metrics.py
+++ b/src/lugcross/edge/metrics.py
@@ -21,6 +21,8 @@
 _MAX_NAMED_WORKSPACES = 20
 #: Path of the list of crash suspects, on the metrics listener.
 SUSPECTS_PATH = b"/suspects"
+#: Path of the list of evacuated failure domains, on the metrics listener.
+EVACUATIONS_PATH = b"/evacuations"
 #: Label of all workspaces without a label of their own.
 _OTHER_WORKSPACES = "(others)"
 
@@ -104,6 +106,10 @@
                 ("peers", "Peers that were heard lately."),
                 ("connections", "Callers' connections that are open."),
                 ("suspects", "Requests under which servers have ended."),
+                (
+                    "edge_evacuated_domains",
+                    "Failure domains that are evacuated.",
+                ),
             )
         }
 
@@ -200,17 +206,18 @@
     response: http1.ResponseWriter,
     req: http1.Request,
     *,
-    suspects_json: Callable[[], bytes],
+    json_lists: Mapping[bytes, Callable[[], bytes]],
 ) -> None:
-    """Serve the metrics, or the crash suspects at ``SUSPECTS_PATH``.
+    """Serve the metrics, or a list for operators.
 
-    :param suspects_json: returns the list of crash suspects as JSON.
+    :param json_lists: functions by path that return a list as JSON.
     """
-    if req.target.partition(b"?")[0] == SUSPECTS_PATH:
+    json_list = json_lists.get(req.target.partition(b"?")[0])
+    if json_list is not None:
         await response.write_head(
             http.HTTPStatus.OK,
             [(b"Content-Type", b"application/json")],
-            suspects_json(),
+            json_list(),
             complete=True,
         )
         return
--- a/src/lugcross/edge/request_errors.py
+++ b/src/lugcross/edge/request_errors.py
@@ -110,6 +110,19 @@
     )
 
 
+def all_evacuated(time_left: datetime.timedelta) -> RequestError:
+    """Return the refusal while all servers are in evacuated domains.
+
+    Nobody knows when an operator withdraws an evacuation, so that the latest
+    retry which leaves time for an answer has the best chance.
+
+    :param time_left: time until the caller's deadline.
+    """
+    return unavailable(
+        "every backend server is in an evacuated failure domain", time_left
+    )
+
+
 def crash_suspect(
     crash_count: int, retry_after: datetime.timedelta
 ) -> RequestError:
--- a/src/lugcross/edge/request_forwarder.py
+++ b/src/lugcross/edge/request_forwarder.py
@@ -162,6 +162,8 @@
     def _refusal_error(
         self, choice: backend_choice.BackendChoice | None, reason: str | None
     ) -> request_errors.RequestError:
+        if self._edge_state.selection.all_evacuated(self._checked.service):
+            return request_errors.all_evacuated(self._time_left())
         limited = self._all_limited_error()
         if limited is not None:
             return limited
@@ -332,6 +334,8 @@
                 "the backend server broke off its answer"
             )
         elif action is retry_policy.Action.REFUSE:
+            if self._edge_state.selection.all_evacuated(self._checked.service):
+                raise request_errors.all_evacuated(self._time_left())
             limited = self._all_limited_error()
             if limited is not None:
                 raise limited
--- a/src/lugcross/edge/server_selection.py
+++ b/src/lugcross/edge/server_selection.py
@@ -22,6 +22,7 @@
 from lugcross.edge import refusing_servers as refusing_servers_lib
 from lugcross.edge import server_backoffs as server_backoffs_lib
 from lugcross.edge import server_limits as server_limits_lib
+from lugcross import evacuation
 from lugcross import ids
 
 #: Fraction of its slots up to which a server that refuses a request is not
@@ -36,18 +37,19 @@
 
     :param listed: usable servers of the service.
     :param filter_sets: the servers of broken groups, and those that are
-        backing off, refusing, limited or slow, of all services.
+        backing off, refusing, limited or slow, of all services; and the
+        evacuated domains.
     :param servers: the result, which may include slow servers.
     """
 
     listed: tuple[desired.Backend, ...]
-    filter_sets: tuple[frozenset[desired.BackendKey], ...]
+    filter_sets: tuple[frozenset[str], ...]
     servers: eligible_servers_lib.EligibleServers
 
     def is_current(
         self,
         listed: tuple[desired.Backend, ...],
-        filter_sets: tuple[frozenset[desired.BackendKey], ...],
+        filter_sets: tuple[frozenset[str], ...],
     ) -> bool:
         """Return whether the inputs are the same objects as before."""
         pairs = zip(self.filter_sets, filter_sets, strict=True)
@@ -62,6 +64,7 @@
         get no new requests.
     :ivar refusing: servers that refuse whatever they are sent.
     :ivar limits: limits that servers state for all processes together.
+    :ivar evacuations: failure domains whose servers get no requests.
     """
 
     def __init__(
@@ -86,6 +89,7 @@
         self.backoffs = server_backoffs_lib.ServerBackoffs(clock)
         self.limits = server_limits_lib.ServerLimits(clock)
         self.refusing = refusing_servers_lib.RefusingServers(clock)
+        self.evacuations = evacuation.Evacuations(clock)
         self._probe_allowances: dict[
             ids.ServiceName, probe_allowance_lib.ProbeAllowance
         ] = {}
@@ -107,12 +111,24 @@
         slow = self.slow_servers.servers()
         refusing = self.refusing.servers()
         limited = self.limits.servers()
-        filter_sets = (broken, backing_off, refusing, limited, slow)
+        evacuated = self.evacuations.domains()
+        filter_sets = (
+            broken,
+            backing_off,
+            refusing,
+            limited,
+            slow,
+            evacuated,
+        )
         cached = self._eligible_servers.get(service)
         if cached and cached.is_current(listed, filter_sets):
             return cached.servers
         unavailable = broken | backing_off | limited
-        usable = [one for one in listed if one.key not in unavailable]
+        usable = [
+            one
+            for one in listed
+            if one.key not in unavailable and one.domain not in evacuated
+        ]
         accepting = [one for one in usable if one.key not in refusing]
         usable = eligible_servers_lib.without_slow(accepting or usable, slow)
         found = eligible_servers_lib.split_by_domain(
@@ -129,11 +145,10 @@
         """Return the time until the first server's backoff ends.
 
         :returns: 0 if a server is not backing off; None if the service has no
-            servers outside broken rank groups.
+            servers outside broken rank groups and evacuated domains.
         """
-        listed = self.backends.usable(service)
         outside_broken_groups = {
-            one.key for one in listed
+            one.key for one in self._outside_evacuated_domains(service)
         } - self.broken_group_servers.servers()
         if outside_broken_groups - self.backoffs.servers():
             return datetime.timedelta()
@@ -233,10 +248,36 @@
         )
         return [
             one
-            for one in self.backends.usable(service)
+            for one in self._outside_evacuated_domains(service)
             if one.key in keys and one.key not in unavailable
         ]
 
+    def _outside_evacuated_domains(
+        self, service: ids.ServiceName
+    ) -> list[desired.Backend]:
+        evacuated = self.evacuations.domains()
+        return [
+            one
+            for one in self.backends.usable(service)
+            if one.domain not in evacuated
+        ]
+
+    def is_evacuated(self, backend: desired.Backend) -> bool:
+        """Return whether a server must get no requests, as an operator asked.
+
+        Queries and orders to engines go on, so that its rank group can run.
+        """
+        return backend.domain in self.evacuations.domains()
+
+    def all_evacuated(self, service: ids.ServiceName) -> bool:
+        """Return whether all servers of a service are in evacuated domains.
+
+        :returns: False if the service has no servers.
+        """
+        return bool(
+            self.backends.usable(service)
+        ) and not self._outside_evacuated_domains(service)
+
     def remaining_limit_wait(
         self, service: ids.ServiceName
     ) -> datetime.timedelta | None:
--- a/src/lugcross/edge/state_sync.py
+++ b/src/lugcross/edge/state_sync.py
@@ -14,6 +14,7 @@
 from lugcross import clock as clock_lib
 from lugcross import desired
 from lugcross.edge import edge_state as edge_state_lib
+from lugcross.edge import evacuation_reports
 from lugcross.edge import lag as lag_lib
 from lugcross.edge import limit_reports
 from lugcross.edge import messages
@@ -137,6 +138,9 @@
             settings, store, self.peers, clock=clock, rng=rng
         )
         edge_state.count_known_peers = self.peers.count
+        edge_state.evacuations.on_change = functools.partial(
+            evacuation_reports.log_change, edge_state.backends
+        )
         edge_state.limits.own_address = settings.listen.peers
         edge_state.limits.known_processes = self.peers.staying_addresses
         edge_state.crash_tracker.on_change = functools.partial(
@@ -272,8 +276,17 @@
     def apply_desired(
         self, result: platform.ReadResult, is_snapshot: bool
     ) -> None:
-        """Apply records of the operator's topic: the desired state."""
-        del is_snapshot
+        """Apply the operator's records: evacuations and desired state.
+
+        Evacuations come first: requests are served once there is a desired
+        state.
+
+        :param is_snapshot: whether ``result`` is a full listing.
+        """
+        if evacuation_reports.apply_read(
+            self._edge_state.evacuations, result, is_snapshot=is_snapshot
+        ):
+            self.peers.schedule_send(urgent=True)
         for record in result.records:
             if record.key != platform.DESIRED_STATE_KEY or not record.value:
                 continue
@@ -365,6 +378,9 @@
             server_limits=limit_reports.own_messages(
                 self._edge_state.limits, self._clock.monotonic()
             ),
+            evacuations=evacuation_reports.own_messages(
+                self._edge_state.evacuations
+            ),
         )
 
     def _store_answer_age_ms(self, topic: str) -> int:
@@ -386,6 +402,9 @@
             for key, count in heartbeat.running_requests.items()
         }
         self._on_peer_era(positions.Position(heartbeat.backends_end))
+        if evacuation_reports.merge(self._edge_state.evacuations, heartbeat):
+            # Not urgent: the process that read the change told all others.
+            self.peers.schedule_send()
         same_domain = heartbeat.domain == self._settings.domain
         self._edge_state.loads.record_peer_requests(
             heartbeat.node, running, same_domain=same_domain
@@ -432,6 +451,7 @@
         if era <= (self._era or 0):
             return
         self._era = era
+        self._edge_state.evacuations.note_era(era)
         logging.warning(
             "store restored from older copy", extra={"era": era, "was": before}
         )
@@ -447,6 +467,7 @@
         A process that does not read the store learns of a new era this way.
         """
         era = positions.era(end)
+        self._edge_state.evacuations.note_era(era)
         known = max(self._era or 0, self._store.era)
         if self._era is None:
             self._era = max(era, self._store.era)
--- a/src/lugcross/platform/__init__.py
+++ b/src/lugcross/platform/__init__.py
@@ -24,7 +24,9 @@
 from lugcross.platform.store_records import BACKENDS_TOPIC
 from lugcross.platform.store_records import decode_backend
 from lugcross.platform.store_records import decode_desired
+from lugcross.platform.store_records import decode_evacuation
 from lugcross.platform.store_records import DESIRED_STATE_KEY
+from lugcross.platform.store_records import evacuation_domain
 from lugcross.platform.store_records import LEASES_TOPIC
 from lugcross.platform.store_records import NODES_TOPIC
 from lugcross.platform.store_records import OPERATOR_TOPIC
@@ -51,6 +53,8 @@
     "StoreClient",
     "decode_backend",
     "decode_desired",
+    "decode_evacuation",
+    "evacuation_domain",
     "headers_to_backend",
     "headers_to_caller",
     "parse_backend_response_head",
--- a/src/lugcross/platform/store_records.py
+++ b/src/lugcross/platform/store_records.py
@@ -14,8 +14,10 @@
 from lugcross import address
 from lugcross import desired
 from lugcross import errors
+from lugcross import evacuation
 from lugcross import experts
 from lugcross import ids
+from lugcross.platform import store_client
 
 #: Topic to which the operator writes the desired state.
 OPERATOR_TOPIC = "keyed.op"
@@ -23,6 +25,9 @@
 BACKENDS_TOPIC = "keyed.servers"
 #: Key of the desired state in the operator's topic.
 DESIRED_STATE_KEY = "config"
+#: Prefix of the keys of evacuations in the operator's topic; the name of the
+#: failure domain follows.
+_EVACUATION_KEY_PREFIX = "evacuate/"
 #: Lugcross's own topic in which each process registers its address.
 NODES_TOPIC = "keyed.lugcross.nodes"
 #: Lugcross's own topic of leases.
@@ -197,6 +202,50 @@
         ) from exc
 
 
+def evacuation_domain(key: str) -> ids.DomainName | None:
+    """Return the failure domain that a key of the operator's topic names.
+
+    :returns: None if the key is not that of an evacuation.
+    :raises errors.ChangeError: when the name is invalid.
+    """
+    if not key.startswith(_EVACUATION_KEY_PREFIX):
+        return None
+    name = key.removeprefix(_EVACUATION_KEY_PREFIX)
+    if not 0 < len(name) <= evacuation.MAX_DOMAIN_CHARS or (
+        not name.isprintable()
+    ):
+        raise errors.ChangeError(
+            f"key of an evacuation is invalid ({key[:40]!r})",
+            remedy="remove the record; name the failure domain after"
+            f" {_EVACUATION_KEY_PREFIX!r}",
+        )
+    return ids.DomainName(name)
+
+
+def decode_evacuation(
+    record: store_client.KeyedRecord,
+) -> evacuation.Record | None:
+    """Decode a record of the operator's topic.
+
+    :returns: None if the key is not that of an evacuation.
+    :raises errors.ChangeError: when the key or the value is invalid.
+    """
+    domain = evacuation_domain(record.key)
+    if domain is None:
+        return None
+    if record.value:
+        try:
+            # A later version of the platform may add fields.
+            msgspec.json.decode(record.value, type=dict[str, object])
+        except _DECODE_ERRORS as exc:
+            raise errors.ChangeError(
+                f"evacuation of {domain!r} is invalid ({exc})",
+                remedy="the state of the domain is kept; write {} to request"
+                " its evacuation, or nothing to withdraw it",
+            ) from exc
+    return evacuation.Record(domain, record.position, bool(record.value))
+
+
 def _to_backend_id(key: str) -> desired.BackendId:
     """Return the id in the key of an entry.
 
--- a/src/lugcross/positions.py
+++ b/src/lugcross/positions.py
@@ -24,6 +24,8 @@
 MAX_ERA = (1 << 20) - 1
 #: The lowest position: era 0, offset 0.
 START = Position(0)
+#: The highest position.
+MAX_POSITION = Position(MAX_ERA << _OFFSET_BITS | _OFFSET_MASK)
 
 
 def position_of(era: Era, offset: ids.Offset) -> Position:
@@ -58,6 +60,7 @@
 
 __all__ = [
     "MAX_ERA",
+    "MAX_POSITION",
     "START",
     "Era",
     "Position",
--- a/testing/platform/test_store_records.py
+++ b/testing/platform/test_store_records.py
@@ -11,7 +11,9 @@
 
 from lugcross import desired
 from lugcross import errors
+from lugcross import ids
 from lugcross import platform
+from lugcross import positions
 
 ROUTE = {
     "name": "r1",
@@ -282,3 +284,56 @@
         [(b"Connection", b"close, X-Hop"), (b"X-Hop", b"1"), (b"X-Y", b"2")]
     )
     assert kept == [(b"X-Y", b"2")]
+
+
+def _operator_record(key: str, value: bytes) -> platform.KeyedRecord:
+    position = positions.position_of(positions.Era(2), ids.Offset(5))
+    return platform.KeyedRecord(position, key, value)
+
+
+@pytest.mark.parametrize(
+    ("value", "requested"),
+    [(b"{}", True), (b'{"note": "x"}', True), (b"", False)],
+    ids=["empty-object", "further-field", "no-value"],
+)
+def test_evacuation_is_decoded(value, requested):
+    found = platform.decode_evacuation(_operator_record("evacuate/d/1", value))
+    assert found is not None
+    assert found.domain == "d/1"
+    assert found.requested == requested
+    assert positions.era(found.position) == 2
+    assert positions.offset(found.position) == 5
+
+
+@pytest.mark.parametrize("key", ["config", "evacuate", "evacuated/d1", ""])
+def test_other_keys_are_no_evacuation(key):
+    assert platform.decode_evacuation(_operator_record(key, b"{}")) is None
+    assert platform.evacuation_domain(key) is None
+
+
+@pytest.mark.parametrize(
+    ("key", "value"),
+    [
+        ("evacuate/", b"{}"),
+        ("evacuate/" + "d" * 101, b"{}"),
+        ("evacuate/d\n1", b"{}"),
+        ("evacuate/d1", b"{"),
+        ("evacuate/d1", b"[]"),
+        ("evacuate/d1", b"null"),
+        ("evacuate/d1", b"\xff"),
+        ("evacuate/d1", b"[" * 100_000),
+    ],
+    ids=[
+        "no-name",
+        "long-name",
+        "line-end",
+        "no-json",
+        "list",
+        "null",
+        "bytes",
+        "nested",
+    ],
+)
+def test_malformed_evacuation_is_refused(key, value):
+    with pytest.raises(errors.ChangeError):
+        platform.decode_evacuation(_operator_record(key, value))
