--- a/testing/edge/test_map_manager.py
+++ b/testing/edge/test_map_manager.py
@@ -17,9 +17,11 @@
 from lugcross.edge import map_manager
 from lugcross.edge import rank_groups
 from lugcross.edge import settings as settings_lib
+from lugcross import evacuation
 from lugcross import experts
 from lugcross import ids
 from lugcross import platform
+from lugcross import positions
 
 RANK_COUNT = 4
 SERVICE = ids.ServiceName("llm")
@@ -229,6 +231,24 @@
     run(act)
 
 
+def test_group_in_an_evacuated_domain_is_queried_and_switched_as_before():
+    """Failure: a group stalls if one of its ranks gets no orders."""
+
+    async def act(rig: Rig) -> None:
+        (domain,) = {one.domain for one in rig.edge_state.backends.all()}
+        rig.edge_state.evacuations.apply(
+            evacuation.Record(domain, positions.Position(1), requested=True)
+        )
+        await rig.rounds(5)
+        assert not rig.edge_state.selection.eligible_servers(SERVICE)
+        assert len(rig.edge_state.backends.usable(SERVICE)) == RANK_COUNT
+        used = [rank.version_and_map for rank in rig.engines.group.ranks]
+        assert used[0][0] > 0
+        assert used == [used[0]] * RANK_COUNT
+
+    run(act)
+
+
 def test_process_that_is_not_leader_sends_no_orders():
     async def act(rig: Rig) -> None:
         rig.leadership.leads = False
--- a/testing/support/crash_rig.py
+++ b/testing/support/crash_rig.py
@@ -132,12 +132,14 @@
     :param at: when the request was sent, in seconds of virtual time.
     :param body: body of the request.
     :param text: body of the answer.
+    :param headers: its headers.
     """
 
     at: float
     body: bytes
     status: int = 0
     text: bytes = b""
+    headers: dict[bytes, bytes] = dataclasses.field(default_factory=dict)
 
 
 class _FakeConn:
@@ -226,9 +228,10 @@
         self.head_written = False
 
     async def write_head(self, status, headers, body=b"", *, complete=False):
-        del headers, complete
+        del complete
         self.head_written = True
         self._answer.status = int(status)
+        self._answer.headers = dict(headers)
         self._answer.text = body
 
 
