Evacuate a failure domain in the fault soak

Real processes, one killed and one stopped meanwhile, with the store away and restored from a copy from before the evacuation, send nothing to the evacuated domain after the bound, and use it again after the withdrawal.

--- a/testing/soak/test_checks.py
+++ b/testing/soak/test_checks.py
@@ -171,6 +171,24 @@
     assert bool(history.violations()) is reported
 
 
+@pytest.mark.parametrize(
+    ("at_s", "domain", "reported"),
+    [
+        pytest.param(9.9, "d0", False, id="before"),
+        pytest.param(14.9, "d0", False, id="within-the-bound"),
+        pytest.param(15.1, "d0", True, id="after-the-bound"),
+        pytest.param(15.1, "d1", False, id="other-domain"),
+        pytest.param(20.1, "d0", False, id="withdrawn"),
+    ],
+)
+def test_request_to_an_evacuated_domain_is_reported(at_s, domain, reported):
+    history = checks.History(
+        received=[_received_request(at_s, domain=domain)],
+        evacuations=[checks.Evacuation("d0", 10.0, 20.0)],
+    )
+    assert bool(history.violations()) is reported
+
+
 @pytest.mark.parametrize(
     ("call", "ran"),
     [
--- a/testing/soak/test_soak.py
+++ b/testing/soak/test_soak.py
@@ -168,6 +168,13 @@
     run.fleet.restore_store(copy)
 
 
+async def evacuate_domain(run: _SoakRun) -> None:
+    domain = run.rng.choice(["d0", "d1", "d2"])
+    run.fleet.evacuate(domain)
+    await run.wait_until_half_done()
+    run.fleet.withdraw_evacuation(domain)
+
+
 async def pause_process(run: _SoakRun) -> None:
     one = run.take_process()
     one.signal(signal.SIGSTOP)
@@ -192,6 +199,7 @@
     make_store_unavailable,
     blackhole_store_for_one_process,
     restore_store_from_copy,
+    evacuate_domain,
     pause_process,
     kill_process,
     stop_and_restart_process,
@@ -316,6 +324,56 @@
     assert served == 2 * LIMIT_ROUNDS * PROCESSES
 
 
+async def _wait_until_all_evacuate(
+    fleet: soak_fleet.Fleet, domains: set[str]
+) -> None:
+    for one in fleet.processes:
+        while await one.evacuated_domains() != domains:
+            await asyncio.sleep(_POLL_S)
+
+
+def test_servers_of_an_evacuated_domain_get_no_requests(
+    tmp_path: pathlib.Path,
+):
+    """Also while a process starts, the store is away or restored."""
+
+    async def main():
+        fleet = soak_fleet.Fleet(
+            tmp_path, processes=PROCESSES, servers=SERVERS
+        )
+        async with asyncio.timeout(RUN_TIMEOUT_S), fleet:
+            served = await _send_from_all(fleet, "a")
+            copy = fleet.store.copy()
+            fleet.evacuate("d0")
+            await _wait_until_all_evacuate(fleet, {"d0"})
+            fleet.withdraw_evacuation("d0")
+            await _wait_until_all_evacuate(fleet, set())
+            fleet.evacuate("d0")
+            await _wait_until_all_evacuate(fleet, {"d0"})
+            await fleet.processes[0].restart(signal.SIGKILL)
+            await fleet.wait_until_serving()
+            served += await _send_from_all(fleet, "b")
+            fleet.store.unavailable = True
+            served += await _send_from_all(fleet, "c")
+            fleet.store.unavailable = False
+            fleet.restore_store(copy)
+            served += await _send_from_all(fleet, "d")
+            await fleet.processes[1].restart(signal.SIGTERM)
+            await fleet.wait_until_serving()
+            served += await _send_from_all(fleet, "e")
+            fleet.withdraw_evacuation("d0")
+            await _wait_until_all_evacuate(fleet, set())
+            before = len(fleet.history.received)
+            served += await _send_from_all(fleet, "f")
+        return fleet.history, served, before
+
+    history, served, before = asyncio.run(main())
+    assert history.violations() == []
+    assert served == 6 * BACKOFF_ROUNDS * PROCESSES
+    used_again = {one.domain for one in history.received[before:]}
+    assert used_again == {"d0", "d1", "d2"}
+
+
 @pytest.mark.parametrize(
     "seed",
     sorted({*range(FIRST_SEED, FIRST_SEED + SEED_COUNT), *REGRESSION_SEEDS}),
--- a/testing/support/soak_checks.py
+++ b/testing/support/soak_checks.py
@@ -36,6 +36,9 @@
 #: so many requests besides.
 LIMIT_FACTOR = 1.5
 LIMIT_EXTRA_REQUESTS = 5
+#: Time from a record of the operator until no process sends to the servers of
+#: an evacuated domain any more.
+EVACUATION_CONTACT_S = 5.0
 EVENTS_PER_STREAM = 6
 
 
@@ -90,6 +93,7 @@
         unless they ask for a backoff.
     :param limit: requests a second from all processes that its answers state
         as its limit unless they ask for a backoff; None if they state none.
+    :param domain: failure domain of the server.
     """
 
     server: str
@@ -98,6 +102,16 @@
     backoff_s: float = 0.0
     leaving: bool = False
     limit: float | None = None
+    domain: str = ""
+
+
+@dataclasses.dataclass
+class Evacuation:
+    """An evacuation of a failure domain, in seconds of the event loop."""
+
+    domain: str
+    requested_s: float
+    withdrawn_s: float = float("inf")
 
 
 @dataclasses.dataclass
@@ -115,6 +129,7 @@
     versions: list[AppliedVersion] = dataclasses.field(default_factory=list)
     errors: list[str] = dataclasses.field(default_factory=list)
     received: list[ReceivedRequest] = dataclasses.field(default_factory=list)
+    evacuations: list[Evacuation] = dataclasses.field(default_factory=list)
 
     def violations(self) -> list[str]:
         """Return a message for each violation of a promise."""
@@ -128,6 +143,7 @@
             *self._sent_during_backoff(),
             *self._sent_to_leaving_servers(),
             *self._sent_beyond_limits(),
+            *self._sent_to_evacuated_domains(),
             *self.errors,
         ]
 
@@ -192,6 +208,20 @@
             if most > allowed_requests(requests[0].limit or 0.0):
                 yield f"{server}: {most} requests beyond its limit"
 
+    def _sent_to_evacuated_domains(self) -> Iterable[str]:
+        for evacuation in self.evacuations:
+            since = evacuation.requested_s + EVACUATION_CONTACT_S
+            for one in self.received:
+                if (
+                    one.domain == evacuation.domain
+                    and since < one.received_s < evacuation.withdrawn_s
+                ):
+                    yield (
+                        f"{one.server}: request of {one.sender}"
+                        f" {one.received_s - evacuation.requested_s:.2f} s"
+                        " after its domain was evacuated"
+                    )
+
     def _later_requests(
         self, first: ReceivedRequest, delay_s: float
     ) -> list[ReceivedRequest]:
--- a/testing/support/soak_fleet.py
+++ b/testing/support/soak_fleet.py
@@ -11,6 +11,7 @@
 import pathlib
 import signal
 import sys
+from typing import Any
 
 import edge_rig
 import soak_checks
@@ -219,15 +220,25 @@
 
     async def max_listed_crashes(self) -> int:
         """Return the highest number of crashes it lists for one suspect."""
+        listed = await self._read_list(b"/suspects", "suspects")
+        return max((len(one["ends"]) for one in listed), default=0)
+
+    async def _read_list(self, path: bytes, name: str) -> list[Any]:
+        """Return a list that it serves as JSON at its metrics address."""
         conn = await http1.connect(
             HOST, self.ports["metrics"], timeout_s=_CALLER_TIMEOUT_S
         )
         headers = [(b"Host", b"h"), (b"Connection", b"close")]
-        conn.send(b"GET", b"/suspects", headers, b"")
+        conn.send(b"GET", path, headers, b"")
         await conn.read_head()
-        listed = json.loads(await conn.read_body())["suspects"]
+        listed: list[Any] = json.loads(await conn.read_body())[name]
         conn.close()
-        return max((len(one["ends"]) for one in listed), default=0)
+        return listed
+
+    async def evacuated_domains(self) -> set[str]:
+        """Return the failure domains that it lists as evacuated."""
+        listed = await self._read_list(b"/evacuations", "evacuations")
+        return {one["domain"] for one in listed if one["evacuated"]}
 
     async def wait(self) -> None:
         if self._proc is not None:
@@ -275,6 +286,7 @@
         self.crash_count = 0
         self._restart_tasks: set[asyncio.Task[None]] = set()
         self.version = 0
+        self.evacuated_domains: set[str] = set()
 
     async def __aenter__(self) -> "Fleet":
         try:
@@ -298,9 +310,7 @@
         for num in range(self._process_count):
             store_proxy = soak_proxy.Proxy(int(port))
             await store_proxy.start()
-            one = EdgeProcess(
-                f"n{num}", f"d{num % 3}", store_proxy, self._path
-            )
+            one = EdgeProcess(f"n{num}", _domain(num), store_proxy, self._path)
             self.processes.append(one)
             await one.start()
         await self.wait_until_serving()
@@ -323,7 +333,7 @@
         row = edge_rig.backend_entry(
             "app",
             f"{HOST}:{self.server_proxies[num].port}",
-            f"d{num % 3}",
+            _domain(num),
             slots=8,
         )
         name = self.servers[num].name
@@ -344,6 +354,7 @@
                 backoff_s=backoff_s,
                 leaving=server.leaving,
                 limit=server.limit,
+                domain=_domain(num),
             )
         )
 
@@ -376,6 +387,28 @@
         for num in range(len(self.servers)):
             self._publish_server(num)
         self._publish_desired_state()
+        for domain in self.evacuated_domains:
+            self._publish_evacuation(domain)
+
+    def evacuate(self, domain: str) -> None:
+        """Request the evacuation of a failure domain, as the operator does."""
+        self.evacuated_domains.add(domain)
+        self._publish_evacuation(domain)
+        now = asyncio.get_running_loop().time()
+        self.history.evacuations.append(soak_checks.Evacuation(domain, now))
+
+    def _publish_evacuation(self, domain: str) -> None:
+        self.store.append(platform.OPERATOR_TOPIC, f"evacuate/{domain}", b"{}")
+
+    def withdraw_evacuation(self, domain: str) -> None:
+        """Withdraw the evacuation of a failure domain."""
+        self.evacuated_domains.discard(domain)
+        self.store.append(platform.OPERATOR_TOPIC, f"evacuate/{domain}", b"")
+        for one in self.history.evacuations:
+            if one.domain == domain:
+                one.withdrawn_s = min(
+                    one.withdrawn_s, asyncio.get_running_loop().time()
+                )
 
     def change_desired_state(self) -> None:
         """Publish a new version of the desired state."""
@@ -429,6 +462,11 @@
                 await asyncio.sleep(0.05)
 
 
+def _domain(num: int) -> str:
+    """Return the failure domain of a process or server."""
+    return f"d{num % 3}"
+
+
 class Caller:
     """A caller that keeps its connection open between requests."""
 
