Order requests by workspace priority, then by route priority

A workspace's priority replaced that of the route, so that routes no longer differed in admission where all workspaces have the same priority. The new package urgency makes the urgency an ordered value of both. Admission counts the urgencies in use at the service, of its routes and of the workspaces that use them, that go before the request's.

The tests of count_priorities_ahead() check the same counts by urgency.

--- a/src/lugcross/desired/__init__.py
+++ b/src/lugcross/desired/__init__.py
@@ -7,6 +7,7 @@
 from lugcross.desired.backend import BackendState
 from lugcross.desired.state import DesiredState
 from lugcross.desired.state import EngineSpec
+from lugcross.desired.state import request_urgency
 from lugcross.desired.state import RequestLimits
 from lugcross.desired.state import Route
 from lugcross.desired.state import RouteKind
@@ -27,4 +28,5 @@
     "Service",
     "WeightedService",
     "Workspace",
+    "request_urgency",
 ]
--- a/src/lugcross/desired/state.py
+++ b/src/lugcross/desired/state.py
@@ -1,16 +1,17 @@
 # SPDX-License-Identifier: Apache-2.0
 """Desired state: a version of routes, services, workspaces and limits."""
 
-import bisect
 from collections.abc import Mapping
 import dataclasses
 import datetime
 import enum
 import functools
+import itertools
 from typing import final
 
 from lugcross import experts as experts_lib
 from lugcross import ids
+from lugcross import urgency as urgency_lib
 
 
 class RouteKind(enum.Enum):
@@ -145,13 +146,26 @@
 class Workspace:
     """A customer's workspace.
 
-    :param priority: overrides the route's priority; None keeps that.
+    :param priority: goes before the route's priority; None counts as that.
     """
 
     name: ids.WorkspaceName
     priority: int | None = None
 
 
+def request_urgency(
+    route: Route, workspace: Workspace | None
+) -> urgency_lib.Urgency:
+    """Return the urgency of the requests of a workspace to a route.
+
+    :param workspace: None if the route needs no API key.
+    """
+    return urgency_lib.Urgency.of(
+        workspace_priority=workspace.priority if workspace else None,
+        route_priority=route.priority,
+    )
+
+
 @final
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class DesiredState:
@@ -173,28 +187,31 @@
         """Return the names of all workspaces that have an API key."""
         return {space.name for space in self.workspaces_by_key.values()}
 
-    def count_priorities_ahead(
-        self, service: ids.ServiceName, priority: int
-    ) -> int:
-        """Return how many priorities in use are more urgent than ``priority``.
-
-        :param service: service whose routes' priorities count.
-        """
-        return bisect.bisect_left(
-            self._priorities_by_service.get(service, ()), priority
-        )
+    def urgencies(
+        self, service: ids.ServiceName
+    ) -> tuple[urgency_lib.Urgency, ...]:
+        """Return the urgencies in use at a service, most urgent first."""
+        return self._urgencies_by_service.get(service, ())
 
     @functools.cached_property
-    def _priorities_by_service(
+    def _urgencies_by_service(
         self,
-    ) -> Mapping[ids.ServiceName, tuple[int, ...]]:
-        """Distinct priorities of each service's routes, most urgent first."""
-        found: dict[ids.ServiceName, set[int]] = {}
-        for routes in self.routes.values():
-            for route in routes:
-                for share in route.weighted_services:
-                    of_service = found.setdefault(share.service, set())
-                    of_service.add(route.priority)
+    ) -> Mapping[ids.ServiceName, tuple[urgency_lib.Urgency, ...]]:
+        """Urgencies of each service's routes and the workspaces using them."""
+        of_workspaces = {
+            space.priority for space in self.workspaces_by_key.values()
+        }
+        found: dict[ids.ServiceName, set[urgency_lib.Urgency]] = {}
+        for route in itertools.chain.from_iterable(self.routes.values()):
+            has_workspace = self.keys_required and not route.public
+            of_route = {
+                urgency_lib.Urgency.of(
+                    workspace_priority=one, route_priority=route.priority
+                )
+                for one in (of_workspaces if has_workspace else (None,))
+            }
+            for share in route.weighted_services:
+                found.setdefault(share.service, set()).update(of_route)
         return {name: tuple(sorted(some)) for name, some in found.items()}
 
     def find_route(self, host: str, path: str) -> Route | None:
--- a/src/lugcross/edge/admission.py
+++ b/src/lugcross/edge/admission.py
@@ -13,9 +13,9 @@
 #: Fraction of the capacity that is open to callers' retries.
 CALLER_RETRY_CAPACITY_FRACTION = 0.8
 #: Fraction of the capacity that is closed to a request for each more urgent
-#: priority in use, so that urgent requests find room in a burst.
-RESERVED_FRACTION_PER_MORE_URGENT_PRIORITY = 0.05
-#: Limit of the sum of these fractions, so that no priority is starved.
+#: urgency in use, so that urgent requests find room in a burst.
+RESERVED_FRACTION_PER_MORE_URGENT = 0.05
+#: Limit of the sum of these fractions, so that no urgency is starved.
 _MAX_RESERVED_FRACTION = 0.15
 #: Fraction of the slots that is open to every request.
 _MIN_SLOT_FRACTION = 0.5
@@ -63,13 +63,13 @@
     :param workspace_quota: quota of its workspace; None if its route
         needs no API key.
     :param is_caller_retry: whether the caller retries a refused request.
-    :param more_urgent_priorities: number of priorities in use at the service
-        that are more urgent than the request's.
+    :param more_urgent: number of urgencies in use at the service that go
+        before the request's.
     """
 
     workspace_quota: shares.WorkspaceQuota | None = None
     is_caller_retry: bool = False
-    more_urgent_priorities: int = 0
+    more_urgent: int = 0
 
 
 def refusal_reason(
@@ -134,8 +134,7 @@
         else 1.0
     )
     fraction -= min(
-        RESERVED_FRACTION_PER_MORE_URGENT_PRIORITY
-        * admission_request.more_urgent_priorities,
+        RESERVED_FRACTION_PER_MORE_URGENT * admission_request.more_urgent,
         _MAX_RESERVED_FRACTION,
     )
     if fraction == 1.0:
--- a/src/lugcross/edge/edge_state.py
+++ b/src/lugcross/edge/edge_state.py
@@ -25,6 +25,7 @@
 from lugcross import ids
 from lugcross import platform
 from lugcross import routing
+from lugcross import urgency
 
 #: Fraction of the retry budget that retries after refusals may use.
 _REFUSED_BUDGET_FRACTION = 0.5
@@ -256,23 +257,25 @@
         :param is_caller_retry: whether the caller retries a refused request.
         """
         workspace_quota = None
-        priority = route.priority
         if workspace is not None:
             workspace_quota = self.workspace_usage.quota_of(
                 service, workspace.name
             )
-            if workspace.priority is not None:
-                priority = workspace.priority
-        state = self.desired
-        more_urgent_priorities = (
-            state.count_priorities_ahead(service, priority) if state else 0
-        )
         return admission.AdmissionRequest(
             workspace_quota=workspace_quota,
             is_caller_retry=is_caller_retry,
-            more_urgent_priorities=more_urgent_priorities,
+            more_urgent=urgency.count_more_urgent(
+                desired.request_urgency(route, workspace),
+                self.urgencies(service),
+            ),
         )
 
+    def urgencies(
+        self, service: ids.ServiceName
+    ) -> tuple[urgency.Urgency, ...]:
+        """Return the urgencies in use at a service, most urgent first."""
+        return self.desired.urgencies(service) if self.desired else ()
+
     def concurrency_limit(
         self, service: ids.ServiceName
     ) -> concurrency_limit_lib.ConcurrencyLimit:
--- /dev/null
+++ b/src/lugcross/urgency/__init__.py
@@ -0,0 +1,8 @@
+# SPDX-License-Identifier: Apache-2.0
+"""Which requests go first when there isn't room for all."""
+
+from lugcross.urgency.ordering import count_more_urgent
+from lugcross.urgency.ordering import request_priority
+from lugcross.urgency.ordering import Urgency
+
+__all__ = ["Urgency", "count_more_urgent", "request_priority"]
--- a/testing/edge/test_shares.py
+++ b/testing/edge/test_shares.py
@@ -1,6 +1,7 @@
 # SPDX-License-Identifier: Apache-2.0
 """Shares of workspaces in a full service."""
 
+import dataclasses
 import datetime
 
 import edge_rig
@@ -13,11 +14,13 @@
 from lugcross import clock as clock_lib
 from lugcross import desired
 from lugcross.edge import admission
+from lugcross.edge import edge_state as edge_state_lib
 from lugcross.edge import metrics
 from lugcross.edge import settings as settings_lib
 from lugcross.edge import workspace_usage
 from lugcross import ids
 from lugcross import shares
+from lugcross import urgency
 
 SERVICE = ids.ServiceName("s")
 SPACE_A, SPACE_B = ids.WorkspaceName("a"), ids.WorkspaceName("b")
@@ -243,14 +246,14 @@
     nearly = _load_snapshot(61)
     assert admission.refusal_reason(nearly, 4.0, _admission_request()) is None
     assert admission.refusal_reason(
-        nearly, 4.0, _admission_request(more_urgent_priorities=1)
+        nearly, 4.0, _admission_request(more_urgent=1)
     )
     # Half of the slots stay open to every priority.
     assert (
         admission.refusal_reason(
             _load_snapshot(47),
             3.0,
-            _admission_request(more_urgent_priorities=9),
+            _admission_request(more_urgent=9),
         )
         is None
     )
@@ -283,12 +286,49 @@
 @pytest.mark.parametrize(
     ("priority", "expected"), [(1, 0), (2, 1), (5, 2), (9, 3), (0, 0)], ids=str
 )
-def test_more_urgent_priorities_of_a_service_are_counted(priority, expected):
-    assert (
-        _state(1, 2, 2, 5).count_priorities_ahead(SERVICE, priority)
-        == expected
+def test_more_urgent_requests_of_a_service_are_counted(priority, expected):
+    own = urgency.Urgency(priority, priority)
+    in_use = _state(1, 2, 2, 5).urgencies(SERVICE)
+    assert urgency.count_more_urgent(own, in_use) == expected
+    assert _state(1).urgencies(ids.ServiceName("other")) == ()
+
+
+@pytest.mark.parametrize("workspace_priority", [None, 4], ids=str)
+def test_routes_differ_in_admission_whatever_the_workspaces_priority(
+    workspace_priority: int | None,
+):
+    """A priority of the workspace must not hide that of the route.
+
+    Symptom: all workspaces had the same priority, and requests of the most
+    urgent route were refused as often as those of the least urgent one.
+    """
+    space = desired.Workspace(name=SPACE_A, priority=workspace_priority)
+    state = dataclasses.replace(
+        _state(0, 1, 2), workspaces_by_key={"k": space}, keys_required=True
+    )
+    edge_state = edge_state_lib.EdgeState(
+        edge_rig.settings(),
+        clock=clock_lib.ManualClock(),
+        rng=edge_rig.new_rng(),
+    )
+    edge_state.adopt(state, b"")
+    found = [
+        edge_state.admission_request(route, SERVICE, space).more_urgent
+        for route in state.routes["h"]
+    ]
+    assert found == [0, 1, 2]
+
+
+def test_urgencies_of_public_routes_have_no_workspace():
+    space = desired.Workspace(name=SPACE_A, priority=4)
+    private, public = _state(1, 2).routes["h"]
+    state = dataclasses.replace(
+        _state(),
+        routes={"h": (private, dataclasses.replace(public, public=True))},
+        workspaces_by_key={"k": space},
+        keys_required=True,
     )
-    assert _state(1).count_priorities_ahead(ids.ServiceName("other"), 9) == 0
+    assert state.urgencies(SERVICE) == ((2, 2), (4, 1))
 
 
 def test_metrics_name_only_the_heaviest_workspaces():
