Tell engines the priority of a request

Engines admit requests in the order of Request-Priority, but the header was removed from callers' requests and not replaced, so that an engine with a queue could not tell them apart. It is now set where the service has engines and requests of several urgencies: 0 for the most urgent, 9 at most. Other servers and services with one urgency get none, as before.

Measured over sockets: of two routes, the less urgent gets 1, the more urgent 0, also when the caller sends 7; none with one urgency or without engines. The tests of urgency, answers, crashing requests, shares and refusals pass.

--- a/src/lugcross/edge/attempt.py
+++ b/src/lugcross/edge/attempt.py
@@ -231,6 +231,9 @@
             body_bytes=None
             if checked.req.body is None
             else len(checked.req.body),
+            priority=self._edge_state.request_priority(
+                checked.route, checked.service, checked.workspace
+            ),
             resume_after=self._caller_response.last_event_id
             if resumed
             else "",
--- a/src/lugcross/edge/edge_state.py
+++ b/src/lugcross/edge/edge_state.py
@@ -276,6 +276,23 @@
         """Return the urgencies in use at a service, most urgent first."""
         return self.desired.urgencies(service) if self.desired else ()
 
+    def request_priority(
+        self,
+        route: desired.Route,
+        service: ids.ServiceName,
+        workspace: desired.Workspace | None,
+    ) -> int | None:
+        """Return the priority that an engine is told, 0 for the most urgent.
+
+        :returns: None if the servers of the service are not engines, or all
+            of its requests have the same urgency.
+        """
+        if self.engine_spec(service) is None:
+            return None
+        return urgency.request_priority(
+            desired.request_urgency(route, workspace), self.urgencies(service)
+        )
+
     def concurrency_limit(
         self, service: ids.ServiceName
     ) -> concurrency_limit_lib.ConcurrencyLimit:
--- a/src/lugcross/platform/backend_headers.py
+++ b/src/lugcross/platform/backend_headers.py
@@ -137,6 +137,7 @@
     workspace: ids.WorkspaceName | None,
     time_left: datetime.timedelta,
     body_bytes: int | None,
+    priority: int | None = None,
     resume_after: str = "",
 ) -> list[tuple[bytes, bytes]]:
     """Return the headers with which a request is forwarded to ``backend``.
@@ -146,6 +147,8 @@
         API key.
     :param time_left: how long this process will wait for the response.
     :param body_bytes: length of the body; none for a request without one.
+    :param priority: 0 for the most urgent, at most 9; none for a server that
+        does not order requests.
     :param resume_after: id of the event after which a broken stream resumes;
         empty to keep the caller's own, if any.
     """
@@ -163,6 +166,8 @@
     sent.append((header_names.EXPECTED_INSTANCE, backend.encode()))
     if workspace is not None:
         sent.append((header_names.WORKSPACE, workspace.encode()))
+    if priority is not None:
+        sent.append((header_names.PRIORITY, str(priority).encode()))
     if resume_after:
         sent.append((header_names.LAST_EVENT_ID, resume_after.encode()))
     if body_bytes is not None:
--- a/testing/edge/test_answers.py
+++ b/testing/edge/test_answers.py
@@ -2,6 +2,7 @@
 """Answers to callers for each behaviour of backend servers, over sockets."""
 
 import asyncio
+import dataclasses
 import datetime
 
 import edge_rig as rig
@@ -10,11 +11,14 @@
 from lugcross import desired
 from lugcross.edge import attempt
 from lugcross import http1
+from lugcross import ids
 
 EVENT_1 = b"id: 1\ndata: a\n\n"
 EVENT_2 = b"id: 2\ndata: b\n\n"
 EVENT_3 = b"id: 3\ndata: c\n\n"
 NOT_RUN = b"Not-Executed: 1"
+APP = ids.ServiceName("app")
+ENGINE = desired.EngineSpec(slots=5, kv_cache_tokens=10_000)
 _EMPTY_ANSWER = b"HTTP/1.1 200 X\r\nContent-Length: 0\r\n\r\n"
 
 
@@ -49,6 +53,54 @@
         assert name not in seen.headers
 
 
+@pytest.mark.parametrize(
+    ("priorities", "engine", "expected"),
+    [
+        ((2, 5), ENGINE, b"1"),
+        ((5, 2), ENGINE, b"0"),
+        ((2, 2), ENGINE, None),
+        ((2, 5), None, None),
+    ],
+    ids=["less-urgent", "most-urgent", "one-urgency", "no-engine"],
+)
+def test_engines_are_told_the_priority(
+    run_with_rig,
+    priorities: tuple[int, int],
+    engine: desired.EngineSpec | None,
+    expected: bytes | None,
+):
+    """Engines must learn which of their requests go first.
+
+    Symptom: the callers' header was removed and not replaced, so engines
+    admitted requests of all urgencies alike.
+    """
+
+    async def act(r):
+        other, own = priorities
+        state = r.edge_state.desired
+        r.edge_state.adopt(
+            dataclasses.replace(
+                state,
+                version=state.version + 1,
+                routes={
+                    "h": (
+                        dataclasses.replace(
+                            rig.SAFE_ROUTE, path_prefix="/o/", priority=other
+                        ),
+                        dataclasses.replace(rig.SAFE_ROUTE, priority=own),
+                    )
+                },
+                services={APP: desired.Service(name=APP, engine=engine)},
+            ),
+            b"",
+        )
+        await r.ask(b"Request-Priority: 7")
+        return r.backends[0].seen[0]
+
+    seen = run_with_rig(rig.SAFE_ROUTE, [[rig.answer()]], act)
+    assert seen.headers.get(b"request-priority") == expected
+
+
 def test_backend_deadline_precedes_the_callers(run_with_rig):
     async def act(r):
         await r.ask(time_left=3000)
