--- a/src/lugcross/edge/edge_state.py
+++ b/src/lugcross/edge/edge_state.py
@@ -25,6 +25,7 @@
 from lugcross import ids
 from lugcross import platform
 from lugcross import routing
+from lugcross import urgency
 
 #: Fraction of the retry budget that retries after refusals may use.
 _REFUSED_BUDGET_FRACTION = 0.5
@@ -258,21 +259,40 @@
         :param is_caller_retry: whether the caller retries a refused request.
         """
         workspace_quota = None
-        priority = route.priority
         if workspace is not None:
             workspace_quota = self.workspace_usage.quota_of(
                 service, workspace.name
             )
-            if workspace.priority is not None:
-                priority = workspace.priority
-        state = self.desired
-        more_urgent_priorities = (
-            state.count_priorities_ahead(service, priority) if state else 0
-        )
         return admission.AdmissionRequest(
             workspace_quota=workspace_quota,
             is_caller_retry=is_caller_retry,
-            more_urgent_priorities=more_urgent_priorities,
+            more_urgent=urgency.count_more_urgent(
+                desired.request_urgency(route, workspace),
+                self.urgencies(service),
+            ),
+        )
+
+    def urgencies(
+        self, service: ids.ServiceName
+    ) -> tuple[urgency.Urgency, ...]:
+        """Return the urgencies in use at a service, most urgent first."""
+        return self.desired.urgencies(service) if self.desired else ()
+
+    def request_priority(
+        self,
+        route: desired.Route,
+        service: ids.ServiceName,
+        workspace: desired.Workspace | None,
+    ) -> int | None:
+        """Return the priority that an engine is told, 0 for the most urgent.
+
+        :returns: None if the servers of the service are not engines, or all
+            of its requests have the same urgency.
+        """
+        if self.engine_spec(service) is None:
+            return None
+        return urgency.request_priority(
+            desired.request_urgency(route, workspace), self.urgencies(service)
         )
 
     def concurrency_limit(
