Reserve capacity for urgent requests by what they ask for

Admission closed 0.05 of the capacity for each more urgent kind in use. This had hardly any effect where workspaces send alike, since a workspace within its share is admitted to each free slot, and without that rule the least urgent kind was starved.

urgency.OverloadShares closes a reserve that follows from the more urgent part of the arrivals and from the load that is asked for. The share of a workspace leaves out the same reserve.

The test of fixed steps in test_shares.py now passes the open part in; it checks the same refusals, and the load that is asked about.

--- a/src/lugcross/edge/admission.py
+++ b/src/lugcross/edge/admission.py
@@ -1,6 +1,7 @@
 # SPDX-License-Identifier: Apache-2.0
 """Admission control: whether a request is sent now or refused."""
 
+from collections.abc import Callable
 import dataclasses
 import datetime
 from typing import final
@@ -12,11 +13,6 @@
 MAX_REQUESTS_PER_PLAIN_SLOT = 3.0
 #: Fraction of the capacity that is open to callers' retries.
 CALLER_RETRY_CAPACITY_FRACTION = 0.8
-#: Fraction of the capacity that is closed to a request for each more urgent
-#: urgency in use, so that urgent requests find room in a burst.
-RESERVED_FRACTION_PER_MORE_URGENT = 0.05
-#: Limit of the sum of these fractions, so that no urgency is starved.
-_MAX_RESERVED_FRACTION = 0.15
 #: Fraction of the slots that is open to every request.
 _MIN_SLOT_FRACTION = 0.5
 
@@ -55,6 +51,11 @@
         )
 
 
+def _whole_capacity(load_fraction: float) -> float:
+    del load_fraction
+    return 1.0
+
+
 @final
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class AdmissionRequest:
@@ -63,13 +64,13 @@
     :param workspace_quota: quota of its workspace; None if its route
         needs no API key.
     :param is_caller_retry: whether the caller retries a refused request.
-    :param more_urgent: number of urgencies in use at the service that go
-        before the request's.
+    :param capacity_fraction: returns the part of the capacity that is open to
+        requests of its urgency, given the load as a fraction of the capacity.
     """
 
     workspace_quota: shares.WorkspaceQuota | None = None
     is_caller_retry: bool = False
-    more_urgent: int = 0
+    capacity_fraction: Callable[[float], float] = _whole_capacity
 
 
 def refusal_reason(
@@ -99,10 +100,13 @@
     """
     workspace_quota = admission_request.workspace_quota
     capacity = max_per_server * snapshot.servers
+    load = snapshot.requests + snapshot.unreported_requests
+    open_fraction = admission_request.capacity_fraction(
+        load / capacity if capacity else 1.0
+    )
     free = (
-        _capacity_for(snapshot, capacity, admission_request)
-        - snapshot.requests
-        - snapshot.unreported_requests
+        _capacity_for(snapshot, capacity, open_fraction, admission_request)
+        - load
     )
     has_capacity = free >= 1.0 and snapshot.least_busy_requests < max(
         max_per_server, 1.0
@@ -113,7 +117,7 @@
         return None
     if (
         workspace_quota is not None
-        and workspace_quota.is_within_share(capacity)
+        and workspace_quota.is_within_share(capacity * open_fraction)
         and snapshot.has_free_slot()
     ):
         return None
@@ -125,18 +129,18 @@
 def _capacity_for(
     snapshot: LoadSnapshot,
     capacity: float,
+    open_fraction: float,
     admission_request: AdmissionRequest,
 ) -> float:
-    """Return how many requests of this kind the service may have at once."""
-    fraction = (
+    """Return how many requests of this kind the service may have at once.
+
+    :param open_fraction: part of the capacity that is open to its urgency.
+    """
+    fraction = open_fraction * (
         CALLER_RETRY_CAPACITY_FRACTION
         if admission_request.is_caller_retry
         else 1.0
     )
-    fraction -= min(
-        RESERVED_FRACTION_PER_MORE_URGENT * admission_request.more_urgent,
-        _MAX_RESERVED_FRACTION,
-    )
     if fraction == 1.0:
         return capacity
     return max(capacity * fraction, snapshot.slots * _MIN_SLOT_FRACTION)
--- a/src/lugcross/edge/checked_request.py
+++ b/src/lugcross/edge/checked_request.py
@@ -11,6 +11,7 @@
 from lugcross import http1
 from lugcross import ids
 from lugcross import platform
+from lugcross import urgency as urgency_lib
 
 
 @final
@@ -38,6 +39,11 @@
         """Name of the workspace; None if the route needs no API key."""
         return self.workspace.name if self.workspace else None
 
+    @property
+    def urgency(self) -> urgency_lib.Urgency:
+        """Urgency of the request, by its workspace and its route."""
+        return desired.request_urgency(self.route, self.workspace)
+
     @property
     def logged_fingerprint(self) -> str | None:
         """The fingerprint in hex, for log lines; None if not computed yet."""
--- a/src/lugcross/edge/edge_state.py
+++ b/src/lugcross/edge/edge_state.py
@@ -1,9 +1,11 @@
 # SPDX-License-Identifier: Apache-2.0
 """State of an edge process that its decisions are based on."""
 
+import collections
 from collections.abc import Callable
 from collections.abc import Collection
 import datetime
+import functools
 import random
 from typing import final
 
@@ -40,6 +42,8 @@
     :ivar bounds: operator's limits; replaced when settings are reloaded.
     :ivar on_event_gap: called with each gap between two events of a stream.
     :ivar count_known_peers: returns how many peers may exist.
+    :ivar overload_shares: decides, by service, which part of the capacity is
+        open to each urgency.
     :ivar desired: desired state in force; None before the first.
     :ivar selection: what is known of the backend servers, and the choice among
         them.
@@ -60,6 +64,9 @@
         self._caller_retry_detectors: dict[
             str, admission.CallerRetryDetector
         ] = {}
+        self.overload_shares: collections.defaultdict[
+            ids.ServiceName, urgency.OverloadShares
+        ] = collections.defaultdict(lambda: urgency.OverloadShares(clock))
         self._concurrency_limits: dict[
             ids.ServiceName, concurrency_limit_lib.ConcurrencyLimit
         ] = {}
@@ -264,9 +271,9 @@
         return admission.AdmissionRequest(
             workspace_quota=workspace_quota,
             is_caller_retry=is_caller_retry,
-            more_urgent=urgency.count_more_urgent(
+            capacity_fraction=functools.partial(
+                self.overload_shares[service].capacity_fraction,
                 desired.request_urgency(route, workspace),
-                self.urgencies(service),
             ),
         )
 
--- a/src/lugcross/edge/request_forwarder.py
+++ b/src/lugcross/edge/request_forwarder.py
@@ -143,7 +143,9 @@
     ) -> str | None:
         checked = self._checked
         edge_state = self._edge_state
-        return admission.refusal_reason(
+        overload_shares = edge_state.overload_shares[checked.service]
+        overload_shares.record_arrival(checked.urgency)
+        reason = admission.refusal_reason(
             edge_state.load_snapshot(
                 checked.service,
                 least_busy_requests=choice.least_busy_requests
@@ -158,6 +160,9 @@
                 is_caller_retry=is_caller_retry,
             ),
         )
+        if reason is None and choice is not None:
+            overload_shares.record_admitted(checked.urgency)
+        return reason
 
     def _refusal_error(
         self, choice: backend_choice.BackendChoice | None, reason: str | None
--- a/src/lugcross/urgency/__init__.py
+++ b/src/lugcross/urgency/__init__.py
@@ -4,5 +4,11 @@
 from lugcross.urgency.ordering import count_more_urgent
 from lugcross.urgency.ordering import request_priority
 from lugcross.urgency.ordering import Urgency
+from lugcross.urgency.overload_shares import OverloadShares
 
-__all__ = ["Urgency", "count_more_urgent", "request_priority"]
+__all__ = [
+    "OverloadShares",
+    "Urgency",
+    "count_more_urgent",
+    "request_priority",
+]
--- a/testing/edge/test_refusals.py
+++ b/testing/edge/test_refusals.py
@@ -5,6 +5,7 @@
 
 from lugcross import desired
 from lugcross import ids
+from lugcross import urgency
 
 BACKEND_KEYS = [desired.BackendKey("i-0")]
 
@@ -64,6 +65,30 @@
     assert (got.status, got.body) == (200, b"whole")
 
 
+def test_requests_and_their_admission_count_for_the_reserve(run_with_rig):
+    """Admission must know what urgent requests ask for, and what they get.
+
+    If the admitted ones were not counted, all of the reserve would be closed
+    without overload.
+    """
+    less_urgent = urgency.Urgency(1, 1)
+
+    async def act(rig: edge_rig.Rig) -> tuple[float, float]:
+        overload_shares = rig.edge_state.overload_shares[
+            ids.ServiceName("app")
+        ]
+        before = overload_shares.capacity_fraction(less_urgent, 1.0)
+        got = await rig.ask()
+        assert got.status == 200
+        return before, overload_shares.capacity_fraction(less_urgent, 1.0)
+
+    before, after = run_with_rig(
+        edge_rig.SAFE_ROUTE, [[edge_rig.answer()]], act
+    )
+    assert before == 1.0
+    assert 0.9 < after < 1.0
+
+
 def test_refused_unrepeatable_request_has_not_run(run_with_rig):
     async def act(rig: edge_rig.Rig) -> edge_rig.CallerAnswer:
         await rig.ask(time_left=5000)
--- a/testing/edge/test_shares.py
+++ b/testing/edge/test_shares.py
@@ -244,21 +244,44 @@
 
 def test_less_urgent_requests_are_refused_first():
     nearly = _load_snapshot(61)
+    asked = []
+
+    def most_is_open(load: float) -> float:
+        asked.append(load)
+        return 0.95
+
     assert admission.refusal_reason(nearly, 4.0, _admission_request()) is None
     assert admission.refusal_reason(
-        nearly, 4.0, _admission_request(more_urgent=1)
+        nearly, 4.0, _admission_request(capacity_fraction=most_is_open)
     )
-    # Half of the slots stay open to every priority.
+    assert asked == [61 / 64]
+    # Half of the slots stay open to every urgency.
     assert (
         admission.refusal_reason(
             _load_snapshot(47),
             3.0,
-            _admission_request(more_urgent=9),
+            _admission_request(capacity_fraction=lambda load: 0.1),
         )
         is None
     )
 
 
+def test_share_of_a_workspace_is_smaller_for_less_urgent_requests():
+    """The share of a workspace must leave room for its urgent requests.
+
+    Symptom: workspaces within their shares were admitted to each free slot,
+    so that urgencies made no difference where all workspaces send alike.
+    """
+    quota = shares.WorkspaceQuota(in_progress=15, total_weight=4.0)
+    full = _load_snapshot(64)
+    urgent = _admission_request(workspace_quota=quota)
+    other = _admission_request(
+        workspace_quota=quota, capacity_fraction=lambda load: 0.9
+    )
+    assert admission.refusal_reason(full, 4.0, urgent) is None
+    assert admission.refusal_reason(full, 4.0, other)
+
+
 def _state(*priorities: int) -> desired.DesiredState:
     routes = tuple(
         desired.Route(
@@ -312,11 +335,15 @@
         rng=edge_rig.new_rng(),
     )
     edge_state.adopt(state, b"")
-    found = [
-        edge_state.admission_request(route, SERVICE, space).more_urgent
-        for route in state.routes["h"]
-    ]
-    assert found == [0, 1, 2]
+    found = []
+    for route in state.routes["h"]:
+        edge_state.overload_shares[SERVICE].record_arrival(
+            desired.request_urgency(route, space)
+        )
+        request = edge_state.admission_request(route, SERVICE, space)
+        found.append(request.capacity_fraction(1.0))
+    assert found[0] == 1.0
+    assert found[0] > found[1] > found[2]
 
 
 def test_urgencies_of_public_routes_have_no_workspace():
