Keep an evacuation whose record has become malformed

A process that started while the store held a malformed record of an evacuated domain took the domain for missing in the listing, judged the reports of peers outdated, and withdrew the evacuation at all processes. A new case of the table fails without it.

--- a/src/lugcross/evacuation/evacuations.py
+++ b/src/lugcross/evacuation/evacuations.py
@@ -67,6 +67,8 @@
         self._first_end: positions.Position | None = None
         #: End of its newest listing of any era.
         self._newest_end = positions.START
+        #: Domains whose record in that listing was malformed.
+        self._unreadable: frozenset[ids.DomainName] = frozenset()
         self._has_held = False
         self.on_change: Callable[[record_lib.Record], None] = lambda record: (
             None
@@ -143,7 +145,9 @@
         self.note_era(positions.era(end))
         if self._first_end is None:
             self._first_end = end
-        self._newest_end = max(self._newest_end, end)
+        if end >= self._newest_end:
+            self._newest_end = end
+            self._unreadable = frozenset(unreadable)
         listed = set(unreadable)
         for record in records:
             listed.add(record.domain)
@@ -176,6 +180,7 @@
             known is None
             and record.requested
             and record.position < self._newest_end
+            and record.domain not in self._unreadable
         ):
             self._add_missing_in_listing(record)
             return
--- a/testing/evacuation/test_evacuations.py
+++ b/testing/evacuation/test_evacuations.py
@@ -97,6 +97,10 @@
         [_log(_on(1, 5)), _listing((1, 9), unreadable="d0")],
         {D0},
     ),
+    "malformed-in-listing-requested-at-peer": (
+        [_listing((1, 9), unreadable="d0"), _peer(_on(1, 5))],
+        {D0},
+    ),
     "several-domains": ([_peer(_on(1, 5), _on(1, 6, "d1"))], {D0, D1}),
     "one-of-two-withdrawn": (
         [_peer(_on(1, 5), _on(1, 6, "d1")), _log(_off(1, 7, "d1"))],
