Read the store itself where only older builds read it

Such peers no longer count as readers.

_hear_readers in test_leader_candidates.py stood for current builds and now sends the field; a case for older builds is added.

--- a/src/lugcross/edge/evacuation_reports.py
+++ b/src/lugcross/edge/evacuation_reports.py
@@ -72,7 +72,9 @@
     evacuations: evacuation.Evacuations, heartbeat: messages.Heartbeat
 ) -> bool:
     """Merge a peer's evacuations; return whether domains have changed."""
-    return bool(heartbeat.evacuations) and evacuations.merge(
+    if not heartbeat.evacuations:
+        return False
+    return evacuations.merge(
         evacuation.Record(
             ids.DomainName(one.domain),
             positions.Position(one.position),
--- a/src/lugcross/edge/messages.py
+++ b/src/lugcross/edge/messages.py
@@ -165,7 +165,8 @@
         of the sender, or accepted one after that.
     :param server_limits: some of the limits that backend servers state.
     :param evacuations: failure domains that are evacuated, and those whose
-        evacuation was withdrawn lately.
+        evacuation was withdrawn lately; None from an older build, which knows
+        of none.
     """
 
     node: str
@@ -191,10 +192,13 @@
     leaving_backends: list[_Name] = []
     server_reports: list[ServerReport] = []
     server_limits: list[ServerLimit] = []
-    evacuations: Annotated[
-        list[Evacuation],
-        msgspec.Meta(max_length=evacuation.MAX_RECORDS_TO_SEND),
-    ] = []
+    evacuations: (
+        Annotated[
+            list[Evacuation],
+            msgspec.Meta(max_length=evacuation.MAX_RECORDS_TO_SEND),
+        ]
+        | None
+    ) = None
 
 
 @final
--- a/src/lugcross/edge/state_sync.py
+++ b/src/lugcross/edge/state_sync.py
@@ -256,9 +256,15 @@
         )
 
     def _peer_reader_candidates(self) -> list[store_readers.ReaderCandidate]:
+        """Return the live peers that may read the store for this process.
+
+        Peers of an older build do not, since they pass on no evacuations.
+        """
         return [
             store_readers.ReaderCandidate(
-                heartbeat.incarnation, heartbeat.reads_store, heartbeat.domain
+                heartbeat.incarnation,
+                heartbeat.reads_store and heartbeat.evacuations is not None,
+                heartbeat.domain,
             )
             for heartbeat in self._live_heartbeats(_ACTIVE_PEER_TIMEOUT)
         ]
--- a/testing/edge/test_evacuation.py
+++ b/testing/edge/test_evacuation.py
@@ -11,10 +11,12 @@
 import itertools
 import random
 
+import cbor2
 import evacuation_rig
 import pytest
 import virtual_time
 
+from lugcross.edge import messages
 from lugcross import platform
 
 SEEDS = (1, 2, 3)
@@ -498,3 +500,40 @@
         for seed in SEEDS
     }
     assert max(times.values()) <= TARGET_S, times
+
+
+def _make_old(node) -> None:
+    """Make a process exchange heartbeats as a build without evacuations."""
+    send = node.sendto
+    index = messages.Heartbeat.__struct_fields__.index("evacuations")
+
+    def send_old(data: bytes, to: tuple[str, int]) -> None:
+        raw = cbor2.loads(data)
+        if len(raw) == 2:
+            raw[1] = raw[1][:index]
+        send(cbor2.dumps(raw[:index]), to)
+
+    node.sendto = send_old
+    evacuations = node.edge_state.evacuations
+    evacuations.apply = evacuations.merge = lambda records: False
+    evacuations.apply_listing = lambda records, end, *, unreadable: False
+
+
+@pytest.mark.parametrize("new", [("n0-0",), ("n0-1", "n2-0"), ("n1-1",)])
+def test_processes_of_a_new_build_among_old_ones(monkeypatch, new):
+    """Failure: an old build read the store for them and told them nothing."""
+
+    async def scenario(fleet, rng):
+        for name, node in fleet.nodes.items():
+            if name not in new:
+                _make_old(node)
+        await asyncio.sleep(rng.uniform(3.0, 5.0))
+        since = fleet.write("d0")
+        await asyncio.sleep(6.0)
+        return [
+            fleet.known_since.get((name, "d0"), float("inf")) - since
+            for name in new
+        ]
+
+    for seed in SEEDS:
+        assert max(_run(monkeypatch, scenario, seed=seed)) <= TARGET_S
--- a/testing/edge/test_evacuation_reports.py
+++ b/testing/edge/test_evacuation_reports.py
@@ -201,14 +201,19 @@
 
 def test_evacuations_take_one_byte_while_there_are_none():
     """They follow the server limits; older builds end there."""
-    heartbeat = messages.Heartbeat("n", "i", "d", 1, False, 1, 1, {}, [])
+    heartbeat = messages.Heartbeat(
+        "n", "i", "d", 1, False, 1, 1, {}, [], evacuations=[]
+    )
     fields = heartbeat.__struct_fields__
     index = fields.index("evacuations")
     assert fields[index - 1] == "server_limits"
     raw = cbor2.loads(messages.encode(heartbeat))
     assert len(cbor2.dumps(raw[index])) == 1
     older = messages.decode_datagram(cbor2.dumps(raw[:index]))
-    assert older == heartbeat
+    assert older.evacuations is None
+    assert not evacuation_reports.merge(
+        evacuation.Evacuations(clock_lib.ManualClock()), older
+    )
 
 
 def _datagram(entries: list[object]) -> bytes:
--- a/testing/edge/test_leader_candidates.py
+++ b/testing/edge/test_leader_candidates.py
@@ -129,9 +129,16 @@
 
 
 def _hear_readers(
-    node: Node, domain: str, *, reads_store: bool = True
+    node: Node,
+    domain: str,
+    *,
+    reads_store: bool = True,
+    old_build: bool = False,
 ) -> None:
-    """Receive heartbeats of two processes that sort first as store readers."""
+    """Receive heartbeats of two processes that sort first as store readers.
+
+    :param old_build: whether they report no evacuations.
+    """
     for num in range(2):
         heartbeat = messages.Heartbeat(
             node=f"r{num}",
@@ -144,21 +151,27 @@
             running_requests={},
             known_addresses=[],
             reads_store=reads_store,
+            evacuations=None if old_build else [],
         )
         data = cbor2.dumps(msgspec.to_builtins(heartbeat))
         node.state_sync.peers.datagram_received(data, (f"10.0.1.{num}", 9))
 
 
 @pytest.mark.parametrize(
-    ("domain", "reads_store", "peers_read_store"),
-    [("d1", True, True), ("d2", True, False), ("d1", False, False)],
-    ids=["near", "far", "store-away"],
+    ("domain", "reads_store", "old_build", "peers_read_store"),
+    [
+        ("d1", True, False, True),
+        ("d2", True, False, False),
+        ("d1", False, False, False),
+        ("d1", True, True, False),
+    ],
+    ids=["near", "far", "store-away", "old-build"],
 )
 def test_store_is_left_to_two_readers_of_the_same_domain(
-    domain: str, reads_store: bool, peers_read_store: bool
+    domain: str, reads_store: bool, old_build: bool, peers_read_store: bool
 ) -> None:
     node = Node(fenced=False)
-    _hear_readers(node, domain, reads_store=reads_store)
+    _hear_readers(node, domain, reads_store=reads_store, old_build=old_build)
     assert node.state_sync.peers_read_store() == peers_read_store
 
 
