--- a/testing/edge/test_evacuation.py
+++ b/testing/edge/test_evacuation.py
@@ -11,10 +11,12 @@
 import itertools
 import random
 
+import cbor2
 import evacuation_rig
 import pytest
 import virtual_time
 
+from lugcross.edge import messages
 from lugcross import platform
 
 SEEDS = (1, 2, 3)
@@ -459,3 +461,79 @@
                 1,
                 evacuation_rig.SERVERS // 2,
             )
+
+
+def test_change_is_sent_at_once_without_any_other_cause(monkeypatch):
+    """Failure: without load a heartbeat comes every half second only."""
+
+    async def scenario(fleet, rng):
+        await asyncio.sleep(rng.uniform(5.0, 6.0))
+        since = fleet.write("d0")
+        await asyncio.sleep(1.0)
+        return fleet.slowest_to_know("d0", since)
+
+    for seed in SEEDS:
+        assert _run(monkeypatch, scenario, seed=seed, load_per_s=0.01) <= 0.1
+
+
+def test_evacuation_long_after_a_new_era_began(monkeypatch):
+    """Failure: a process that does not read the store took the era for new.
+
+    It held back the evacuation of a domain that had been withdrawn before.
+    """
+
+    async def scenario(fleet, rng):
+        fleet.write("d0")
+        await asyncio.sleep(2.0)
+        fleet.withdraw("d0")
+        # Processes report a withdrawal to each other for a minute.
+        await asyncio.sleep(62.0)
+        fleet.store.standin.restore_from(fleet.store.standin.copy())
+        await asyncio.sleep(rng.uniform(12.0, 14.0))
+        fleet.known_since.clear()
+        since = fleet.write("d0")
+        await asyncio.sleep(6.0)
+        return fleet.slowest_to_know("d0", since)
+
+    times = {
+        seed: _run(monkeypatch, scenario, seed=seed, load_per_s=2.0)
+        for seed in SEEDS
+    }
+    assert max(times.values()) <= TARGET_S, times
+
+
+def _make_old(node) -> None:
+    """Make a process exchange heartbeats as a build without evacuations."""
+    send = node.sendto
+    index = messages.Heartbeat.__struct_fields__.index("evacuations")
+
+    def send_old(data: bytes, to: tuple[str, int]) -> None:
+        raw = cbor2.loads(data)
+        if len(raw) == 2:
+            raw[1] = raw[1][:index]
+        send(cbor2.dumps(raw[:index]), to)
+
+    node.sendto = send_old
+    evacuations = node.edge_state.evacuations
+    evacuations.apply = evacuations.merge = lambda records: False
+    evacuations.apply_listing = lambda records, end, *, unreadable: False
+
+
+@pytest.mark.parametrize("new", [("n0-0",), ("n0-1", "n2-0"), ("n1-1",)])
+def test_processes_of_a_new_build_among_old_ones(monkeypatch, new):
+    """Failure: an old build read the store for them and told them nothing."""
+
+    async def scenario(fleet, rng):
+        for name, node in fleet.nodes.items():
+            if name not in new:
+                _make_old(node)
+        await asyncio.sleep(rng.uniform(3.0, 5.0))
+        since = fleet.write("d0")
+        await asyncio.sleep(6.0)
+        return [
+            fleet.known_since.get((name, "d0"), float("inf")) - since
+            for name in new
+        ]
+
+    for seed in SEEDS:
+        assert max(_run(monkeypatch, scenario, seed=seed)) <= TARGET_S
