--- a/src/lugcross/edge/connection_pool.py
+++ b/src/lugcross/edge/connection_pool.py
@@ -82,7 +82,7 @@
 
     def has_idle(self, key: desired.BackendKey) -> bool:
         """Return whether there is an idle connection that may be reused."""
-        idle = self._idle.get(key)
+        idle = self._idle.get(key, [])
         return bool(idle) and self._clock.monotonic() < idle[-1].expires_at
 
     def release(
