Show requests by urgency in metrics and log lines

lugcross_edge_urgency_requests_total counts requests admitted and refused, and lugcross_edge_urgency_first_byte_seconds the time to the first event, by urgency. Lines of answers and refusals have urgency, and those of refusals also the part of the capacity that was open. Services with one urgency get none of these series.

--- a/src/lugcross/edge/admission.py
+++ b/src/lugcross/edge/admission.py
@@ -37,6 +37,16 @@
     least_busy_requests: int
     unreported_requests: float
 
+    def load_fraction(self, max_per_server: float) -> float:
+        """Return the load as a fraction of the capacity.
+
+        :param max_per_server: requests that one server may have at once.
+        """
+        capacity = max_per_server * self.servers
+        if not capacity:
+            return 1.0
+        return (self.requests + self.unreported_requests) / capacity
+
     def has_free_slot(self) -> bool:
         """Return whether a slot is free in total and at the least busy server.
 
@@ -91,7 +101,9 @@
     (:mod:`lugcross.shares.dynamic_limit`). A workspace below its share is
     admitted even to a full service while there are free slots: the streams
     of the workspaces that exceed their shares end within seconds, and passes
-    take slightly longer until then.
+    take slightly longer until then. Its share leaves out what is reserved for
+    more urgent requests; otherwise urgency would make no difference where all
+    workspaces are within their shares.
 
     Unreported requests of peers are estimated, see
     :mod:`lugcross.edge.unreported_requests`.
@@ -100,13 +112,13 @@
     """
     workspace_quota = admission_request.workspace_quota
     capacity = max_per_server * snapshot.servers
-    load = snapshot.requests + snapshot.unreported_requests
     open_fraction = admission_request.capacity_fraction(
-        load / capacity if capacity else 1.0
+        snapshot.load_fraction(max_per_server)
     )
     free = (
         _capacity_for(snapshot, capacity, open_fraction, admission_request)
-        - load
+        - snapshot.requests
+        - snapshot.unreported_requests
     )
     has_capacity = free >= 1.0 and snapshot.least_busy_requests < max(
         max_per_server, 1.0
--- a/src/lugcross/edge/metrics.py
+++ b/src/lugcross/edge/metrics.py
@@ -79,6 +79,19 @@
             buckets=_LATENCY_BUCKETS_S,
             registry=self._registry,
         )
+        self._urgency_requests = prometheus_client.Counter(
+            "lugcross_edge_urgency_requests",
+            "Requests by urgency, 0 the most urgent, and admission.",
+            ("service", "urgency", "outcome"),
+            registry=self._registry,
+        )
+        self._urgency_first_byte = prometheus_client.Histogram(
+            "lugcross_edge_urgency_first_byte_seconds",
+            "Time from a request's head to the first of its answer.",
+            ("service", "urgency"),
+            buckets=_LATENCY_BUCKETS_S,
+            registry=self._registry,
+        )
         self._workspace_refused = prometheus_client.Counter(
             "lugcross_workspace_refused",
             "Requests that got no answer of a backend server.",
@@ -121,6 +134,30 @@
                 first_byte.total_seconds()
             )
 
+    def count_admission(
+        self, service: str, urgency: int | None, *, admitted: bool
+    ) -> None:
+        """Count a request that was admitted or refused by its urgency.
+
+        :param urgency: 0 for the most urgent; None, which is not counted, if
+            all requests of the service have the same.
+        """
+        if urgency is not None:
+            outcome = "admitted" if admitted else "refused"
+            self._urgency_requests.labels(service, str(urgency), outcome).inc()
+
+    def observe_urgency_first_byte(
+        self,
+        service: str,
+        urgency: int | None,
+        first_byte: datetime.timedelta | None,
+    ) -> None:
+        """Record the time to the first byte, or event, by urgency."""
+        if urgency is not None and first_byte is not None:
+            self._urgency_first_byte.labels(service, str(urgency)).observe(
+                first_byte.total_seconds()
+            )
+
     def count_attempt(self, service: str, event: str) -> None:
         """Count one attempt at a backend server by its outcome."""
         self._attempts.labels(service, event).inc()
--- a/src/lugcross/edge/request_forwarder.py
+++ b/src/lugcross/edge/request_forwarder.py
@@ -21,6 +21,7 @@
 from lugcross.edge import request_errors
 from lugcross.edge import retry_policy
 from lugcross import http1
+from lugcross import urgency
 
 _MS = datetime.timedelta(milliseconds=1)
 
@@ -57,6 +58,10 @@
         self._not_admitted_reason: str | None = None
         #: When the last attempt was started.
         self._attempt_sent_at = checked.req.received_at
+        #: Number of its urgency at the service, None if it has only one.
+        self._urgency_number = urgency.request_priority(
+            checked.urgency, edge_state.urgencies(checked.service)
+        )
         self._state = retry_policy.RequestState(
             repeatable=checked.route.repeatable,
             max_attempts=checked.route.max_attempts,
@@ -114,9 +119,15 @@
                 self._not_admitted_reason = reason
                 return spare.best.backend
         if choice is None or reason is not None:
+            self._count_admission(admitted=False)
             raise self._refusal_error(choice, reason)
         return choice.best.backend
 
+    def _count_admission(self, *, admitted: bool) -> None:
+        self._edge_state.metrics.count_admission(
+            self._checked.service, self._urgency_number, admitted=admitted
+        )
+
     def _refuse_crash_suspect(self) -> None:
         """Raise if the request has crashed too many servers already.
 
@@ -205,6 +216,7 @@
         return request_errors.all_backing_off(backoff, self._rng)
 
     async def _send_until_answered(self, first: desired.Backend) -> None:
+        self._count_admission(admitted=True)
         backend = first
         while True:
             self._tried_backends.add(backend.key)
@@ -376,6 +388,9 @@
         self._edge_state.metrics.count_request(
             checked.service, status, first_byte_after
         )
+        self._edge_state.metrics.observe_urgency_first_byte(
+            checked.service, self._urgency_number, first_byte_after
+        )
         total = self._clock.monotonic() - checked.req.received_at
         logging.info(
             "answered",
@@ -384,6 +399,7 @@
                 "service": checked.service,
                 "route": checked.route.name,
                 "workspace": checked.workspace_name,
+                "urgency": self._urgency_number,
                 "version": checked.desired_version,
                 "backend": backend.key,
                 "domain": backend.domain,
--- a/src/lugcross/edge/request_handler.py
+++ b/src/lugcross/edge/request_handler.py
@@ -18,6 +18,7 @@
 from lugcross import http1
 from lugcross import ids
 from lugcross import platform
+from lugcross import urgency
 
 _MS = datetime.timedelta(milliseconds=1)
 
@@ -157,6 +158,7 @@
                     ),
                     2,
                 ),
+                **self._urgency_fields(checked, snapshot),
                 **self._share_fields(checked, snapshot),
                 "list_age_s": round(
                     self._edge_state.backends.age().total_seconds(), 3
@@ -175,6 +177,28 @@
             },
         )
 
+    def _urgency_fields(
+        self,
+        checked: checked_request.CheckedRequest,
+        snapshot: admission.LoadSnapshot,
+    ) -> dict[str, object]:
+        """Return the urgency and what is open to it, as log fields."""
+        service = checked.service
+        number = urgency.request_priority(
+            checked.urgency, self._edge_state.urgencies(service)
+        )
+        if number is None:
+            return {}
+        per_server = self._edge_state.max_requests_per_server(
+            checked.route, service
+        )
+        open_fraction = self._edge_state.overload_shares[
+            service
+        ].capacity_fraction(
+            checked.urgency, snapshot.load_fraction(per_server)
+        )
+        return {"urgency": number, "open": round(open_fraction, 3)}
+
     def _share_fields(
         self,
         checked: checked_request.CheckedRequest,
--- a/testing/edge/test_refusals.py
+++ b/testing/edge/test_refusals.py
@@ -1,6 +1,9 @@
 # SPDX-License-Identifier: Apache-2.0
 """Requests that cannot be served are refused at once with Retry-After."""
 
+import dataclasses
+import logging
+
 import edge_rig
 
 from lugcross import desired
@@ -89,6 +92,51 @@
     assert 0.9 < after < 1.0
 
 
+def test_metrics_and_log_lines_show_the_urgency(run_with_rig, caplog):
+    """Operators must see whom an overload costs.
+
+    The line of a refusal also says how much was open to the request.
+    """
+
+    async def act(rig: edge_rig.Rig) -> str:
+        urgent = dataclasses.replace(edge_rig.SAFE_ROUTE, path_prefix="/u/")
+        other = dataclasses.replace(edge_rig.SAFE_ROUTE, priority=3)
+        rig.adopt(urgent, other, version=2)
+        assert (await rig.ask(path=b"/u/x")).status == 200
+        rig.edge_state.broken_group_servers.report("peer", BACKEND_KEYS)
+        assert (await rig.ask()).status == 503
+        return rig.edge_state.metrics.text().decode()
+
+    with caplog.at_level(logging.INFO):
+        text = run_with_rig(edge_rig.SAFE_ROUTE, [[edge_rig.answer()]], act)
+    requests = 'lugcross_edge_urgency_requests_total{outcome="%s",'
+    service = 'service="app",urgency="%d"} 1.0'
+    assert requests % "admitted" + service % 0 in text
+    assert requests % "refused" + service % 1 in text
+    assert (
+        'lugcross_edge_urgency_first_byte_seconds_count{service="app",'
+        'urgency="0"} 1.0'
+    ) in text
+    lines = {
+        one.getMessage(): vars(one)
+        for one in caplog.records
+        if one.getMessage() in ("answered", "refused")
+    }
+    assert lines["answered"]["urgency"] == 0
+    assert lines["refused"]["urgency"] == 1
+    assert 0.8 < lines["refused"]["open"] < 1.0
+
+
+def test_service_with_one_urgency_has_no_series_by_urgency(run_with_rig):
+    async def act(rig: edge_rig.Rig) -> str:
+        assert (await rig.ask()).status == 200
+        return rig.edge_state.metrics.text().decode()
+
+    text = run_with_rig(edge_rig.SAFE_ROUTE, [[edge_rig.answer()]], act)
+    assert "lugcross_edge_urgency_requests_total{" not in text
+    assert "lugcross_edge_urgency_first_byte_seconds_count{" not in text
+
+
 def test_refused_unrepeatable_request_has_not_run(run_with_rig):
     async def act(rig: edge_rig.Rig) -> edge_rig.CallerAnswer:
         await rig.ask(time_left=5000)
