Leave out failure domains that a process can't connect to

Cause: a process learned of the servers of a domain that is cut off one by one; a request was refused after four attempts that reached nobody, and rank groups that span a cut got requests on its smaller side.

Change: the package reachability decides from connections made and not made which domains are unreachable; server_selection leaves their servers out, domain_prober probes them by connections, heartbeats carry unreachable_domains, attempts that reached nobody cost neither attempts nor budget while servers are left that have not failed, and map_manager reports groups with unreachable ranks as broken.

--- a/src/lugcross/edge/app.py
+++ b/src/lugcross/edge/app.py
@@ -16,6 +16,7 @@
 from lugcross import address
 from lugcross import clock as clock_lib
 from lugcross import desired
+from lugcross.edge import domain_prober
 from lugcross.edge import edge_state as edge_state_lib
 from lugcross.edge import engine_transport
 from lugcross.edge import map_leadership
@@ -233,6 +234,9 @@
             state_sync.run(),
             self._leadership.run(),
             self._map_manager.run(),
+            domain_prober.DomainProber(
+                self.edge_state.reachability, self._clock
+            ).run(),
             self._sweep(),
         ]
 
@@ -273,6 +277,9 @@
             peers=len(self.state_sync.peers.live()),
             connections=len(self._conns),
             suspects=len(self.edge_state.crash_tracker.registry),
+            edge_unreachable_domains=len(
+                self.edge_state.reachability.own_findings()
+            ),
         )
         self.edge_state.metrics.set_workspace_running(
             self.edge_state.workspace_usage.counts_by_service()
--- a/src/lugcross/edge/attempt.py
+++ b/src/lugcross/edge/attempt.py
@@ -283,6 +283,11 @@
         if not conn.nothing_acknowledged() or not self._may_resend():
             return
         self._unacknowledged = True
+        self._edge_state.selection.reachability.record_not_connected(
+            self._backend.domain,
+            self._backend.address,
+            begun_at=self._sent_at,
+        )
         self._edge_state.pool.close_idle(self._backend.key)
         conn.close()
 
--- a/src/lugcross/edge/backends.py
+++ b/src/lugcross/edge/backends.py
@@ -243,6 +243,15 @@
         """Return all known backend servers, also leaving and removed ones."""
         return [entry.backend for entry in self._entries.values()]
 
+    def addresses_by_domain(self) -> dict[ids.DomainName, set[str]]:
+        """Return the addresses of the listed servers, by failure domain."""
+        found: dict[ids.DomainName, set[str]] = {}
+        for entry in self._entries.values():
+            if not entry.removed or entry.removal_is_uncertain:
+                backend = entry.backend
+                found.setdefault(backend.domain, set()).add(backend.address)
+        return found
+
     def forget(self, key: desired.BackendKey, why: str) -> None:
         """Forget a life of a backend server that has certainly ended.
 
--- a/src/lugcross/edge/connection_pool.py
+++ b/src/lugcross/edge/connection_pool.py
@@ -8,6 +8,7 @@
 from lugcross import clock as clock_lib
 from lugcross import desired
 from lugcross import http1
+from lugcross import reachability as reachability_lib
 
 #: A few round trips within a region. A host that takes longer is unreachable
 #: or its listen backlog is full.
@@ -41,10 +42,20 @@
 
 @final
 class ConnectionPool:
-    """Idle connections by backend server; the newest is reused first."""
+    """Idle connections by backend server; the newest is reused first.
 
-    def __init__(self, clock: clock_lib.Clock) -> None:
+    :param reachability: is told which connections could be opened.
+    """
+
+    def __init__(
+        self,
+        clock: clock_lib.Clock,
+        reachability: reachability_lib.DomainReachability | None = None,
+    ) -> None:
         self._clock = clock
+        self._reachability = (
+            reachability or reachability_lib.DomainReachability(clock)
+        )
         self._idle: dict[desired.BackendKey, list[_IdleConnection]] = {}
 
     async def acquire(
@@ -76,9 +87,17 @@
             if usable and now < one.expires_at:
                 return one.conn
             one.conn.close()
-        return await http1.connect(
-            backend.host, backend.port, timeout_s=_CONNECT_TIMEOUT_S
-        )
+        try:
+            conn = await http1.connect(
+                backend.host, backend.port, timeout_s=_CONNECT_TIMEOUT_S
+            )
+        except http1.NoConnectionError:
+            self._reachability.record_not_connected(
+                backend.domain, backend.address, begun_at=now
+            )
+            raise
+        self._reachability.record_connected(backend.domain, backend.address)
+        return conn
 
     def release(
         self,
--- a/src/lugcross/edge/edge_state.py
+++ b/src/lugcross/edge/edge_state.py
@@ -83,7 +83,9 @@
         self.refusing = self.selection.refusing
         self.workspace_usage = workspace_usage.WorkspaceUsage(clock)
         self.workspace_usage.weights = settings.shares.weights
-        self.pool = connection_pool.ConnectionPool(clock)
+        self.reachability = self.selection.reachability
+        self.reachability.own_address = settings.listen.peers
+        self.pool = connection_pool.ConnectionPool(clock, self.reachability)
         self.metrics = metrics_lib.EdgeMetrics()
         self.crash_tracker = crash_tracker_lib.CrashTracker(
             clock, software_versions=self.software_versions
@@ -166,6 +168,7 @@
     ) -> None:
         """Apply the state that a server reports in its response headers."""
         key = backend.key
+        self.reachability.record_connected(backend.domain, backend.address)
         if head.load is not None:
             self.loads.record_reported_load(key, head.load)
         if head.leaving and not head.wrong_instance:
@@ -357,6 +360,7 @@
         self.pool.close_unusable(known)
         self.loads.retain_only(known)
         self.limits.retain_only(known)
+        self.reachability.retain_only(self.backends.addresses_by_domain())
 
 
 def _exempt_requests(
--- a/src/lugcross/edge/map_manager.py
+++ b/src/lugcross/edge/map_manager.py
@@ -18,6 +18,7 @@
 from lugcross.edge import settings as settings_lib
 from lugcross.edge import switch_driver
 from lugcross.edge import switch_tasks
+from lugcross.edge import unreachable_ranks
 from lugcross import experts
 from lugcross import ids
 from lugcross import platform
@@ -84,8 +85,13 @@
             engines, clock, edge_state.backoffs
         )
         self._queries = rank_queries.RankQueries(
-            engines, self._groups, clock, edge_state.backoffs
+            engines,
+            self._groups,
+            clock,
+            edge_state.backoffs,
+            edge_state.reachability.unreachable,
         )
+        edge_state.reachability.on_change = self._on_reachability_change
         self.switch_tasks = switch_tasks.SwitchTasks(
             engines,
             self._queries,
@@ -95,6 +101,10 @@
             sleep=sleep,
         )
         self._was_leader = False
+        #: Servers of unknown rank that belong to broken groups.
+        self._servers_without_group: dict[
+            ids.ServiceName, list[desired.BackendKey]
+        ] = {}
 
     def _on_event_gap(
         self, key: desired.BackendKey, gap: datetime.timedelta
@@ -127,14 +137,48 @@
             self._note_break(group)
             self._publish_state(group)
 
+    def _on_reachability_change(self) -> None:
+        """Report the groups that span an unreachable domain at once.
+
+        A round of queries may have to wait for connections to time out.
+        """
+        if self._was_leader:
+            for backends in self._engines_by_service().values():
+                self._mark_unreachable(backends)
+
+    def _mark_unreachable(self, backends: list[desired.Backend]) -> None:
+        unreachable = self._edge_state.reachability.confirmed_unreachable()
+        for group in unreachable_ranks.mark_groups(
+            self._groups, backends, unreachable
+        ):
+            self._note_break(group)
+            self._publish_state(group)
+        if backends:
+            self._servers_without_group[backends[0].service] = (
+                unreachable_ranks.servers_without_group(self._groups, backends)
+            )
+
+    def _engines_by_service(
+        self,
+    ) -> dict[ids.ServiceName, list[desired.Backend]]:
+        """Return the backend servers of each service with expert maps."""
+        found: dict[ids.ServiceName, list[desired.Backend]] = {}
+        for one in self._edge_state.backends.all():
+            if self._edge_state.has_rank_groups(one.service):
+                found.setdefault(one.service, []).append(one)
+        return found
+
     def servers_of_broken_groups(self) -> list[desired.BackendKey]:
         """Return the backend servers of broken groups, if this is the leader.
 
         Empty in any other process, which queries no groups.
         """
-        return (
-            self._groups.servers_of_broken_groups() if self._was_leader else []
-        )
+        if not self._was_leader:
+            return []
+        found = self._groups.servers_of_broken_groups()
+        for servers in self._servers_without_group.values():
+            found += servers
+        return found
 
     def slow_servers(self) -> list[desired.BackendKey]:
         """Return the slow ranks' backend servers, if this is the leader."""
@@ -157,6 +201,7 @@
             return
         self._was_leader = is_leader
         self._groups.clear()
+        self._servers_without_group.clear()
         self._demand_reader.clear()
         logging.info("expert map leadership", extra={"mine": is_leader})
 
@@ -191,6 +236,7 @@
             if one.service == service
         ]
         self._groups.retain_servers(backends)
+        self._mark_unreachable(backends)
         groups = self._groups.of_service(service)
         await asyncio.gather(
             self._demand_reader.read_counts(service, groups, limits),
--- a/src/lugcross/edge/messages.py
+++ b/src/lugcross/edge/messages.py
@@ -9,6 +9,7 @@
 
 from lugcross import crash_suspects
 from lugcross.edge import patches
+from lugcross import reachability
 
 #: Number of requests in progress; one process never has as many as the limit.
 _Count = Annotated[int, msgspec.Meta(ge=0, le=1_000_000)]
@@ -147,6 +148,8 @@
     :param server_reports: backend servers that have lately refused requests
         of the sender, or accepted one after that.
     :param server_limits: some of the limits that backend servers state.
+    :param unreachable_domains: failure domains whose backend servers the
+        sender could not connect to.
     """
 
     node: str
@@ -172,6 +175,10 @@
     leaving_backends: list[_Name] = []
     server_reports: list[ServerReport] = []
     server_limits: list[ServerLimit] = []
+    unreachable_domains: Annotated[
+        list[_Name],
+        msgspec.Meta(max_length=reachability.MAX_REPORTED_DOMAINS),
+    ] = []
 
 
 @final
--- a/src/lugcross/edge/metrics.py
+++ b/src/lugcross/edge/metrics.py
@@ -104,6 +104,10 @@
                 ("peers", "Peers that were heard lately."),
                 ("connections", "Callers' connections that are open."),
                 ("suspects", "Requests under which servers have ended."),
+                (
+                    "edge_unreachable_domains",
+                    "Failure domains that can't be reached from here.",
+                ),
             )
         }
 
--- a/src/lugcross/edge/rank_groups.py
+++ b/src/lugcross/edge/rank_groups.py
@@ -34,6 +34,9 @@
     :param epoch: newest epoch that a rank has reported.
     :param epoch_of_crash: epoch in which a rank has crashed; the group opens
         again only in a later one, whatever its other ranks report meanwhile.
+    :param has_unreachable_rank: whether a rank is in an unreachable domain,
+        or is missing and cannot be known to be reachable; the group is not
+        open then, whatever its other ranks report.
     :param is_open: whether the group accepts requests.
     :param current_map: the map in use, or None while it is unknown.
     :param armed_version: version that all ranks have been armed with by this
@@ -63,6 +66,7 @@
     )
     epoch: experts.Epoch = experts.Epoch(0)
     epoch_of_crash: experts.Epoch | None = None
+    has_unreachable_rank: bool = False
     is_open: bool = False
     last_pass: experts.PassNumber = experts.PassNumber(0)
     version_in_use: experts.MapVersion = experts.MapVersion(0)
@@ -91,6 +95,24 @@
         """Whether the backend server of every rank is known."""
         return len(self.servers_by_rank) == self.rank_count > 0
 
+    def is_split(self, domains: Collection[ids.DomainName]) -> bool:
+        """Return whether the server of a known rank is in ``domains``."""
+        return any(
+            backend.domain in domains
+            for backend in self.servers_by_rank.values()
+        )
+
+    def without_state(self) -> "RankGroup":
+        """Return the group with its ranks, but without reported state."""
+        return RankGroup(
+            self.name,
+            self.service,
+            self.limits,
+            self.rank_count,
+            servers_by_rank=dict(self.servers_by_rank),
+            report_lag=self.report_lag,
+        )
+
     @property
     def can_switch(self) -> bool:
         """Whether a new map switch may be planned and started."""
@@ -188,7 +210,11 @@
             # Plan again for the demand read before the group broke: it is
             # the best estimate until new counts have been read.
             self.planned_demand_read_at = None
-        self.is_open = report.is_open and self.epoch != self.epoch_of_crash
+        self.is_open = (
+            report.is_open
+            and self.epoch != self.epoch_of_crash
+            and not self.has_unreachable_rank
+        )
         self.last_pass = report.last_pass
         self.highest_version = max(
             self.highest_version, report.highest_version
@@ -267,14 +293,26 @@
         return broken
 
     def clear(self) -> None:
-        """Forget all groups except those being switched by this process."""
-        self._groups = {
-            k: g for k, g in self._groups.items() if g.is_switching
+        """Forget all but the ranks of each group.
+
+        This process may not reach all ranks when it manages maps again.
+        Groups that it is switching stay as they are.
+        """
+        kept = {
+            id(group): group if group.is_switching else group.without_state()
+            for group in self._groups.values()
         }
+        self._groups = {k: kept[id(g)] for k, g in self._groups.items()}
         self._group_by_server = {
-            k: g for k, g in self._group_by_server.items() if g.is_switching
+            k: kept[id(g)]
+            for k, g in self._group_by_server.items()
+            if id(g) in kept
         }
 
+    def all(self) -> list[RankGroup]:
+        """Return all groups."""
+        return list(self._groups.values())
+
     def of_service(self, service: ids.ServiceName) -> list[RankGroup]:
         """Return the groups of a service, sorted by name."""
         found = [g for k, g in self._groups.items() if k[0] == service]
@@ -285,7 +323,8 @@
         return [
             backend.key
             for group in self._groups.values()
-            if group.reported_at is not None and not group.is_open
+            if (group.reported_at is not None and not group.is_open)
+            or group.has_unreachable_rank
             for backend in group.servers_by_rank.values()
         ]
 
--- a/src/lugcross/edge/rank_queries.py
+++ b/src/lugcross/edge/rank_queries.py
@@ -2,6 +2,8 @@
 """Queries ranks for their group, its state, its map and their slowness."""
 
 import asyncio
+from collections.abc import Callable
+from collections.abc import Iterable
 import datetime
 from typing import final
 
@@ -26,9 +28,12 @@
 class RankQueries:
     """Queries ranks and updates the state of their groups.
 
-    Ranks whose backend servers are backing off are not queried. The state of
-    their groups is taken from the other ranks; if there are none, it stays
-    as it was.
+    Ranks whose backend servers are backing off, or in an unreachable domain,
+    are not queried. The state of their groups is taken from the other ranks;
+    if there are none, it stays as it was.
+
+    :param unreachable_domains: returns the domains that can't be reached;
+        each query there would last until its connection times out.
     """
 
     def __init__(
@@ -37,7 +42,11 @@
         groups: rank_groups.RankGroups,
         clock: clock_lib.Clock,
         backoffs: server_backoffs_lib.ServerBackoffs,
+        unreachable_domains: Callable[
+            [], frozenset[ids.DomainName]
+        ] = frozenset,
     ) -> None:
+        self._unreachable_domains = unreachable_domains
         self._backoffs = backoffs
         self._engines = engines
         self._groups = groups
@@ -53,9 +62,8 @@
 
         :param backends: servers of one service whose rank is not yet known.
         """
-        backends = [
-            one for one in backends if not self._backoffs.is_active(one.key)
-        ]
+        unavailable = self._unavailable(backends)
+        backends = [one for one in backends if one.key not in unavailable]
         if not backends:
             return
         now = self._clock.monotonic()
@@ -87,15 +95,15 @@
         The group is marked unreachable only if none of the sampled ranks
         answers. It is forgotten if it has formed with another number of ranks.
         """
-        backing_off = self._backoffs.servers()
+        unavailable = self._unavailable(group.servers_by_rank.values())
         ranks = group.sample_ranks(
-            1 if group.is_open else _SAMPLED_RANK_COUNT, backing_off
+            1 if group.is_open else _SAMPLED_RANK_COUNT, unavailable
         )
         if not ranks:
             return
         reports = await self._fetch_reports(group, ranks)
         if not reports:
-            others = group.sample_ranks(_SAMPLED_RANK_COUNT, backing_off)
+            others = group.sample_ranks(_SAMPLED_RANK_COUNT, unavailable)
             reports = await self._fetch_reports(group, others)
         now = self._clock.monotonic()
         if not reports:
@@ -127,6 +135,18 @@
             )
             group.planned_demand_read_at = None
 
+    def _unavailable(
+        self, backends: Iterable[desired.Backend]
+    ) -> frozenset[desired.BackendKey]:
+        """Return the servers that are not queried, of ``backends`` or any."""
+        backing_off = self._backoffs.servers()
+        domains = self._unreachable_domains()
+        if not domains:
+            return backing_off
+        return backing_off | {
+            one.key for one in backends if one.domain in domains
+        }
+
     async def _fetch_reports(
         self, group: rank_groups.RankGroup, ranks: list[experts.Rank]
     ) -> list[experts.RankReport]:
--- a/src/lugcross/edge/request_errors.py
+++ b/src/lugcross/edge/request_errors.py
@@ -20,6 +20,10 @@
 #: refuse: it takes seconds until they recover, and the retry must still leave
 #: time for an answer.
 _UNAVAILABLE_WAIT_FRACTION = 0.3
+#: The same range where no server can serve the request for now, so that the
+#: callers do not all return in one moment. They wait as told for up to a third
+#: of the time that they have left.
+_CUT_OFF_WAIT_FRACTIONS = (0.2, 0.33)
 
 
 @final
@@ -110,6 +114,18 @@
     )
 
 
+def cut_off(
+    what: str, time_left: datetime.timedelta, rng: random.Random
+) -> RequestError:
+    """Return the refusal of a request that no known server can serve now.
+
+    :param time_left: time until the caller's deadline.
+    """
+    earliest, latest = (time_left * one for one in _CUT_OFF_WAIT_FRACTIONS)
+    spread = (latest - earliest) * rng.random()
+    return _not_run(what, max(MIN_RETRY_AFTER, earliest) + spread)
+
+
 def crash_suspect(
     crash_count: int, retry_after: datetime.timedelta
 ) -> RequestError:
--- a/src/lugcross/edge/request_forwarder.py
+++ b/src/lugcross/edge/request_forwarder.py
@@ -175,8 +175,15 @@
         if backoff is not None:
             return self._all_backing_off_error(backoff)
         if self._edge_state.backends.usable(self._checked.service):
-            return request_errors.unavailable(
-                "all rank groups of the service are broken", self._time_left()
+            reachable = self._edge_state.selection.has_reachable_server(
+                self._checked.service
+            )
+            return request_errors.cut_off(
+                "all rank groups of the service are broken"
+                if reachable
+                else "no backend server of the service can be reached",
+                self._time_left(),
+                self._rng,
             )
         return request_errors.not_ready("no backend server is known")
 
@@ -283,7 +290,10 @@
 
         A retry costs nothing while no attempt has reached a backend server.
         """
-        obstacle = retry_policy.retry_obstacle(self._state)
+        obstacle = retry_policy.retry_obstacle(
+            self._state,
+            servers_left=self._servers_left(choice),
+        )
         if obstacle is not None:
             return obstacle
         if self._not_admitted_reason is not None:
@@ -300,12 +310,25 @@
             response_started=self._state.response_started,
         ):
             return retry_policy.RetryObstacle.CRASHES
-        if self._state.attempts_sent and not self._edge_state.spend_retry(
-            self._checked.service, outcome
-        ):
+        if retry_policy.costs_budget(
+            self._state, outcome
+        ) and not self._edge_state.spend_retry(self._checked.service, outcome):
             return retry_policy.RetryObstacle.NO_BUDGET
         return None
 
+    def _servers_left(
+        self, choice: backend_choice.BackendChoice | None
+    ) -> bool:
+        """Return whether ``choice`` is a server that has not failed lately.
+
+        Where no domain can be reached, none is known to be any better.
+        """
+        return (
+            choice is not None
+            and not choice.best.avoided
+            and not self._edge_state.reachability.all_failed()
+        )
+
     def _choose_backend(self) -> backend_choice.BackendChoice | None:
         if self._is_suspect():
             return self._edge_state.selection.choose_for_suspect(
--- a/src/lugcross/edge/retry_policy.py
+++ b/src/lugcross/edge/retry_policy.py
@@ -9,8 +9,9 @@
 import enum
 from typing import final
 
-#: Attempts per request that may end before anything is sent. Another try
-#: costs only time, but after so many the cause is probably on this side.
+#: Attempts per request that may end before anything is sent where only
+#: servers are left that have failed lately. While others are left, another
+#: try costs only time.
 MAX_FAILED_CONNECTIONS = 4
 
 
@@ -103,18 +104,32 @@
     )
 
 
-def retry_obstacle(state: RequestState) -> RetryObstacle | None:
-    """Return why the request itself must not be sent again, if so."""
-    if (
-        state.attempts_sent >= state.max_attempts
-        or state.failed_connections >= MAX_FAILED_CONNECTIONS
-    ):
+def retry_obstacle(
+    state: RequestState, *, servers_left: bool = True
+) -> RetryObstacle | None:
+    """Return why the request itself must not be sent again, if so.
+
+    :param servers_left: whether it can go to a server that has not failed
+        lately.
+    """
+    if state.attempts_sent >= state.max_attempts:
+        return RetryObstacle.NO_ATTEMPTS
+    if not servers_left and state.failed_connections >= MAX_FAILED_CONNECTIONS:
         return RetryObstacle.NO_ATTEMPTS
     if state.may_have_run and not state.repeatable:
         return RetryObstacle.MAY_HAVE_RUN
     return None
 
 
+def costs_budget(state: RequestState, outcome: AttemptOutcome) -> bool:
+    """Return whether another attempt takes a retry from the budget.
+
+    It does not if the last one reached nobody: either nothing was sent so
+    far, or the retry that was taken for it is still unused.
+    """
+    return state.attempts_sent > 0 and outcome is not AttemptOutcome.UNREACHED
+
+
 def may_send(state: RequestState) -> bool:
     """Return whether the request may be sent to another backend server."""
     return retry_obstacle(state) is None
--- a/src/lugcross/edge/server_selection.py
+++ b/src/lugcross/edge/server_selection.py
@@ -7,6 +7,7 @@
 import dataclasses
 import datetime
 import random
+from typing import Any
 from typing import final
 
 from lugcross import clock as clock_lib
@@ -23,6 +24,7 @@
 from lugcross.edge import server_backoffs as server_backoffs_lib
 from lugcross.edge import server_limits as server_limits_lib
 from lugcross import ids
+from lugcross import reachability as reachability_lib
 
 #: Fraction of its slots up to which a server that refuses a request is not
 #: merely full. Requests that have just started at peers are not known yet.
@@ -36,18 +38,19 @@
 
     :param listed: usable servers of the service.
     :param filter_sets: the servers of broken groups, and those that are
-        backing off, refusing, limited or slow, of all services.
+        backing off, refusing, limited or slow, of all services; the
+        unreachable domains, and those used again in part.
     :param servers: the result, which may include slow servers.
     """
 
     listed: tuple[desired.Backend, ...]
-    filter_sets: tuple[frozenset[desired.BackendKey], ...]
+    filter_sets: tuple[frozenset[Any], ...]
     servers: eligible_servers_lib.EligibleServers
 
     def is_current(
         self,
         listed: tuple[desired.Backend, ...],
-        filter_sets: tuple[frozenset[desired.BackendKey], ...],
+        filter_sets: tuple[frozenset[Any], ...],
     ) -> bool:
         """Return whether the inputs are the same objects as before."""
         pairs = zip(self.filter_sets, filter_sets, strict=True)
@@ -62,6 +65,7 @@
         get no new requests.
     :ivar refusing: servers that refuse whatever they are sent.
     :ivar limits: limits that servers state for all processes together.
+    :ivar reachability: failure domains that this process cannot reach.
     """
 
     def __init__(
@@ -86,6 +90,8 @@
         self.backoffs = server_backoffs_lib.ServerBackoffs(clock)
         self.limits = server_limits_lib.ServerLimits(clock)
         self.refusing = refusing_servers_lib.RefusingServers(clock)
+        self.reachability = reachability_lib.DomainReachability(clock)
+        self.reachability.servers_by_domain = self.backends.addresses_by_domain
         self._probe_allowances: dict[
             ids.ServiceName, probe_allowance_lib.ProbeAllowance
         ] = {}
@@ -107,12 +113,28 @@
         slow = self.slow_servers.servers()
         refusing = self.refusing.servers()
         limited = self.limits.servers()
-        filter_sets = (broken, backing_off, refusing, limited, slow)
+        unreachable = self.reachability.unreachable()
+        returning = self.reachability.returning()
+        filter_sets = (
+            broken,
+            backing_off,
+            refusing,
+            limited,
+            slow,
+            unreachable,
+            returning,
+        )
         cached = self._eligible_servers.get(service)
         if cached and cached.is_current(listed, filter_sets):
             return cached.servers
         unavailable = broken | backing_off | limited
-        usable = [one for one in listed if one.key not in unavailable]
+        usable = [
+            one
+            for one in listed
+            if one.key not in unavailable and one.domain not in unreachable
+        ]
+        if returning:
+            usable = self._without_unused(usable)
         accepting = [one for one in usable if one.key not in refusing]
         usable = eligible_servers_lib.without_slow(accepting or usable, slow)
         found = eligible_servers_lib.split_by_domain(
@@ -123,17 +145,40 @@
         )
         return found
 
+    def _without_unused(
+        self, servers: list[desired.Backend]
+    ) -> list[desired.Backend]:
+        """Return the servers without those that are not used again yet.
+
+        Returns all if there are no others.
+        """
+        used = [
+            one
+            for one in servers
+            if self.reachability.may_use(one.domain, one.address)
+        ]
+        return used or servers
+
+    def has_reachable_server(self, service: ids.ServiceName) -> bool:
+        """Return whether a server of the service is in a reachable domain."""
+        unreachable = self.reachability.unreachable()
+        return any(
+            one.domain not in unreachable
+            for one in self.backends.usable(service)
+        )
+
     def remaining_backoff(
         self, service: ids.ServiceName
     ) -> datetime.timedelta | None:
         """Return the time until the first server's backoff ends.
 
         :returns: 0 if a server is not backing off; None if the service has no
-            servers outside broken rank groups.
+            reachable servers outside broken rank groups.
         """
         listed = self.backends.usable(service)
+        unreachable = self.reachability.unreachable()
         outside_broken_groups = {
-            one.key for one in listed
+            one.key for one in listed if one.domain not in unreachable
         } - self.broken_group_servers.servers()
         if outside_broken_groups - self.backoffs.servers():
             return datetime.timedelta()
@@ -231,10 +276,13 @@
         unavailable = (
             self.broken_group_servers.servers() | self.backoffs.servers()
         )
+        unreachable = self.reachability.unreachable()
         return [
             one
             for one in self.backends.usable(service)
-            if one.key in keys and one.key not in unavailable
+            if one.key in keys
+            and one.key not in unavailable
+            and one.domain not in unreachable
         ]
 
     def remaining_limit_wait(
--- a/src/lugcross/edge/state_sync.py
+++ b/src/lugcross/edge/state_sync.py
@@ -139,6 +139,7 @@
         edge_state.count_known_peers = self.peers.count
         edge_state.limits.own_address = settings.listen.peers
         edge_state.limits.known_processes = self.peers.staying_addresses
+        edge_state.reachability.count_peers_here = self._count_peers_here
         edge_state.crash_tracker.on_change = functools.partial(
             self.peers.schedule_send, urgent=True
         )
@@ -365,6 +366,17 @@
             server_limits=limit_reports.own_messages(
                 self._edge_state.limits, self._clock.monotonic()
             ),
+            unreachable_domains=[
+                str(one)
+                for one in self._edge_state.reachability.own_findings()
+            ],
+        )
+
+    def _count_peers_here(self) -> int:
+        """Return how many other processes of this domain are live."""
+        return sum(
+            peer.domain == self._settings.domain
+            for peer in self.peers.live(_ACTIVE_PEER_TIMEOUT)
         )
 
     def _store_answer_age_ms(self, topic: str) -> int:
@@ -406,6 +418,11 @@
         limit_reports.merge(
             self._edge_state.limits, heartbeat, self._clock.monotonic()
         )
+        if same_domain:
+            self._edge_state.reachability.merge_report(
+                heartbeat.node,
+                map(ids.DomainName, heartbeat.unreachable_domains),
+            )
         for name in heartbeat.leaving_backends:
             self._edge_state.backends.mark_leaving(desired.BackendKey(name))
         self.on_peer_generation(experts.Generation(heartbeat.lease_generation))
