Return to a domain gradually, and test cuts under load

Cause: at the end of a cut all processes would choose the idle servers at once.

Change: also the part of the requests that may go there grows. Probes time out after 0.2 s. The time 0 no longer counts as never probed, so that a probe does not go to the server that has just failed.

--- a/src/lugcross/edge/domain_prober.py
+++ b/src/lugcross/edge/domain_prober.py
@@ -12,8 +12,9 @@
 #: Time between two checks whether a probe is due; short against the time
 #: between two probes.
 _CHECK_INTERVAL_S = 0.05
-#: As for connections of requests.
-_CONNECT_TIMEOUT_S = 0.4
+#: Many round trips within a region. Waiting for longer would not help after
+#: a lost packet, which is sent again after a second.
+_CONNECT_TIMEOUT_S = 0.2
 
 
 @final
--- a/src/lugcross/edge/eligible_servers.py
+++ b/src/lugcross/edge/eligible_servers.py
@@ -9,6 +9,7 @@
 
 from lugcross import desired
 from lugcross import ids
+from lugcross import reachability as reachability_lib
 
 #: Largest fraction of a service's servers that is excluded as slow. If more
 #: are slow, excluding them overloads the others more than it saves.
@@ -85,6 +86,38 @@
     return others
 
 
+def without_unused(
+    servers: list[desired.Backend],
+    reachability: reachability_lib.DomainReachability,
+) -> list[desired.Backend]:
+    """Return the servers without those that are not used again yet.
+
+    Returns all if there are no others.
+    """
+    used = [
+        one for one in servers if reachability.may_use(one.domain, one.address)
+    ]
+    return used or servers
+
+
+def without_returning(
+    servers: list[desired.Backend],
+    reachability: reachability_lib.DomainReachability,
+    rng: random.Random,
+) -> list[desired.Backend]:
+    """Return the servers for one request, without some returning domains.
+
+    Idle servers would get all requests of all processes at first. A growing
+    part of the requests may go to them, and all if there are no others.
+    """
+    skipped = {
+        domain
+        for domain, fraction in reachability.returning_fractions()
+        if rng.random() >= fraction
+    }
+    return [one for one in servers if one.domain not in skipped] or servers
+
+
 def _random_slice(
     servers: tuple[desired.Backend, ...], rng: random.Random
 ) -> Sequence[desired.Backend]:
--- a/src/lugcross/edge/server_selection.py
+++ b/src/lugcross/edge/server_selection.py
@@ -134,7 +134,9 @@
             if one.key not in unavailable and one.domain not in unreachable
         ]
         if returning:
-            usable = self._without_unused(usable)
+            usable = eligible_servers_lib.without_unused(
+                usable, self.reachability
+            )
         accepting = [one for one in usable if one.key not in refusing]
         usable = eligible_servers_lib.without_slow(accepting or usable, slow)
         found = eligible_servers_lib.split_by_domain(
@@ -145,20 +147,6 @@
         )
         return found
 
-    def _without_unused(
-        self, servers: list[desired.Backend]
-    ) -> list[desired.Backend]:
-        """Return the servers without those that are not used again yet.
-
-        Returns all if there are no others.
-        """
-        used = [
-            one
-            for one in servers
-            if self.reachability.may_use(one.domain, one.address)
-        ]
-        return used or servers
-
     def has_reachable_server(self, service: ids.ServiceName) -> bool:
         """Return whether a server of the service is in a reachable domain."""
         unreachable = self.reachability.unreachable()
@@ -202,9 +190,10 @@
             if probe is not None:
                 return probe
         limited = self._limited_with_room(service)
-        found = self._choose_among(
-            [*servers.sample(self._rng), *limited], tried
+        sample = eligible_servers_lib.without_returning(
+            servers.sample(self._rng), self.reachability, self._rng
         )
+        found = self._choose_among([*sample, *limited], tried)
         if found is None or found.best.avoided:
             found = self._choose_among([*servers.all, *limited], tried)
         if not tried and (found is None or found.best.avoided):
--- a/src/lugcross/reachability/domain_reachability.py
+++ b/src/lugcross/reachability/domain_reachability.py
@@ -26,8 +26,10 @@
 #: The same for a domain with fewer servers; a single one is never enough.
 _MIN_FAILED_SERVERS_OF_SMALL_DOMAIN = 2
 #: Failures after which further servers are probed, so that the last failures
-#: cost no caller an attempt.
+#: cost no caller an attempt. One is enough where a peer has reported the
+#: domain.
 _FAILED_SERVERS_TO_PROBE = 2
+_FAILED_SERVERS_TO_PROBE_REPORTED = 1
 #: Time between two probes of a domain that may be unreachable.
 _SUSPECTED_PROBE_INTERVAL = datetime.timedelta(milliseconds=50)
 #: Probes of a domain on suspicion, within the age of its failures.
@@ -237,6 +239,13 @@
         self._update(self._clock.monotonic())
         return self._returning
 
+    def returning_fractions(self) -> list[tuple[ids.DomainName, float]]:
+        """Return which part of the requests may go to returning domains."""
+        return [
+            (domain, step / _RETURN_STEPS)
+            for domain, step in sorted(self.returning())
+        ]
+
     def may_use(self, domain: ids.DomainName, server: str) -> bool:
         """Return whether a server of a returning domain is used already."""
         return all(
@@ -292,8 +301,13 @@
                 for at in found.probed_at.values()
                 if now - at < domain_record.FAILURE_MAX_AGE
             ]
+            needed = (
+                _FAILED_SERVERS_TO_PROBE_REPORTED
+                if found.reports
+                else _FAILED_SERVERS_TO_PROBE
+            )
             if (
-                len(found.failures) < _FAILED_SERVERS_TO_PROBE
+                len(found.failures) < needed
                 or len(recent) >= _MAX_SUSPECTED_PROBES
             ):
                 return False
--- a/src/lugcross/reachability/domain_record.py
+++ b/src/lugcross/reachability/domain_record.py
@@ -60,8 +60,8 @@
         return self.unreachable_since is not None or self.is_untested()
 
     def last_try(self, server: str) -> datetime.timedelta:
-        """Return when a server was probed or failed; 0 if it never was."""
-        never = datetime.timedelta()
+        """Return when a server was probed or failed, or the earliest time."""
+        never = datetime.timedelta.min
         return max(
             self.probed_at.get(server, never), self.failures.get(server, never)
         )
--- a/testing/support/crash_rig.py
+++ b/testing/support/crash_rig.py
@@ -35,13 +35,13 @@
 #: Time from a crash until the server's entry is removed from the store.
 ENTRY_REMOVED_AFTER_S = 2.0
 SLOTS_PER_SERVER = 6
-_LATENCY_S = 0.001
+LATENCY_S = 0.001
 _SERVER_PORT = 80
 #: Attempts of an ordinary caller, and the delay before each retry.
 _MAX_CALLER_ATTEMPTS = 3
 _RETRY_DELAY_RANGE_S = (0.2, 1.0)
 #: Name of the edge process that handles the request of the current task.
-_current_node = contextvars.ContextVar("node", default="")
+current_node = contextvars.ContextVar("node", default="")
 _KEYS = ("key-a", "key-b", "key-c")
 
 
@@ -140,7 +140,7 @@
     text: bytes = b""
 
 
-class _FakeConn:
+class FakeConn:
     """Fake of :class:`lugcross.http1.ClientConn`."""
 
     closing = False
@@ -161,7 +161,7 @@
         self._body = body
 
     async def read_head(self) -> http1.ResponseHead:
-        await asyncio.sleep(_LATENCY_S)
+        await asyncio.sleep(LATENCY_S)
         server = self._server
         if not server.up or server.name != self._server_name:
             raise self._broken()
@@ -187,7 +187,7 @@
         finally:
             server.running -= 1
         if crashed.is_set():
-            await asyncio.sleep(_LATENCY_S)
+            await asyncio.sleep(LATENCY_S)
             raise self._broken()
         return self._answer(200, (b"response-seal", b"s"))
 
@@ -253,8 +253,10 @@
         servers: int,
         attempts: int = 2,
         seed: int = 1,
+        server_domains: int = 2,
     ) -> None:
         super().__init__(monkeypatch, *domains)
+        self._server_domains = server_domains
         self.crashing_bodies: set[bytes] = set()
         self.sends: list[Send] = []
         self.refusals: list[Send] = []
@@ -285,7 +287,7 @@
         value = edge_rig.backend_entry(
             "app",
             f"{server.host}:{_SERVER_PORT}",
-            f"d{server.index % 2}",
+            f"d{server.index % self._server_domains}",
             slots=SLOTS_PER_SERVER,
         )
         self.store.standin.append(platform.BACKENDS_TOPIC, server.name, value)
@@ -336,27 +338,27 @@
     def record_send(self, body: bytes, server: Server) -> None:
         """Record that a server has started to run a request."""
         now = asyncio.get_running_loop().time()
-        self.sends.append(Send(now, body, _current_node.get(), server.name))
+        self.sends.append(Send(now, body, current_node.get(), server.name))
 
     def record_limited(self, body: bytes, server: Server) -> None:
         """Record that a request reached a server that states a limit."""
         now = asyncio.get_running_loop().time()
-        self.limited.append(Send(now, body, _current_node.get(), server.name))
+        self.limited.append(Send(now, body, current_node.get(), server.name))
 
     def record_refusal(self, body: bytes, server: Server) -> None:
         """Record that a server has refused a request and asked to back off."""
         now = asyncio.get_running_loop().time()
-        self.refusals.append(Send(now, body, _current_node.get(), server.name))
+        self.refusals.append(Send(now, body, current_node.get(), server.name))
 
     async def _connect(self, host: str, port: int, *, timeout_s: float):
         server = self._by_host.get(host)
         if server is None:
             return await self.store.connect(host, port, timeout_s=timeout_s)
-        await asyncio.sleep(_LATENCY_S)
+        await asyncio.sleep(LATENCY_S)
         if not server.up:
             refused = ConnectionRefusedError("refused")
             raise http1.NoConnectionError("refused", remedy="-") from refused
-        return _FakeConn(self, server)
+        return FakeConn(self, server)
 
     def ask(self, node: str, body: bytes, key: str = _KEYS[0]) -> None:
         """Start a request to an edge process; see :attr:`answers`."""
@@ -367,7 +369,7 @@
 
     async def _run_request(self, name: str, body: bytes, key: str) -> Answer:
         clock = virtual_time.LoopClock()
-        _current_node.set(name)
+        current_node.set(name)
         node = self.nodes[name]
         headers = [
             (b"host", b"h"),
--- a/testing/support/fleet_rig.py
+++ b/testing/support/fleet_rig.py
@@ -15,6 +15,7 @@
 import virtual_time
 
 from lugcross.edge import app
+from lugcross.edge import domain_prober
 from lugcross.edge import edge_state as edge_state_lib
 from lugcross.edge import messages
 from lugcross.edge import settings as settings_lib
@@ -131,8 +132,13 @@
         followers = store_followers.make_followers(
             self.store, self.edge_state, self.state_sync
         )
+        prober = domain_prober.DomainProber(
+            self.edge_state.reachability, virtual_time.LoopClock()
+        )
         await asyncio.gather(
-            self.state_sync.run(), *(one.run() for one in followers)
+            self.state_sync.run(),
+            prober.run(),
+            *(one.run() for one in followers),
         )
 
     def start(self) -> None:
