--- a/testing/edge/test_retry_policy.py
+++ b/testing/edge/test_retry_policy.py
@@ -79,3 +79,40 @@
         retry_policy.final_action(state, outcome)
         is retry_policy.Action.ABORT_RESPONSE
     )
+
+
+def test_attempts_that_reached_nobody_do_not_count_while_servers_are_left():
+    """In a cut, a request was refused after four servers of one domain."""
+    state = retry_policy.RequestState(repeatable=True, max_attempts=2)
+    unreached = retry_policy.AttemptOutcome.UNREACHED
+    for _ in range(20):
+        state = retry_policy.state_after(state, unreached)
+        assert retry_policy.retry_obstacle(state, servers_left=True) is None
+        assert not retry_policy.costs_budget(state, unreached)
+
+
+def test_they_are_limited_where_all_servers_left_have_failed():
+    """Or each request would try each server of a service that is down."""
+    state = retry_policy.RequestState(repeatable=True, max_attempts=2)
+    for _ in range(retry_policy.MAX_FAILED_CONNECTIONS):
+        assert retry_policy.retry_obstacle(state, servers_left=False) is None
+        state = retry_policy.state_after(
+            state, retry_policy.AttemptOutcome.UNREACHED
+        )
+    assert (
+        retry_policy.retry_obstacle(state, servers_left=False)
+        is retry_policy.RetryObstacle.NO_ATTEMPTS
+    )
+
+
+def test_budget_is_spent_once_for_a_retry_that_reached_nobody():
+    """The budget is for servers, and none has got the retry."""
+    state = retry_policy.RequestState(repeatable=True, max_attempts=3)
+    not_run = retry_policy.AttemptOutcome.NOT_RUN
+    unreached = retry_policy.AttemptOutcome.UNREACHED
+    state = retry_policy.state_after(state, not_run)
+    assert retry_policy.costs_budget(state, not_run)
+    state = retry_policy.state_after(state, unreached)
+    assert not retry_policy.costs_budget(state, unreached)
+    state = retry_policy.state_after(state, not_run)
+    assert retry_policy.costs_budget(state, not_run)
