Take a domain for unreachable only after probes, and not for crashed servers

Change: three probes of servers that have not failed must fail. Failed connections to a domain that is known to be unreachable eject no server. Domains that return together, with no other in use, are used in full.

--- a/src/lugcross/edge/attempt.py
+++ b/src/lugcross/edge/attempt.py
@@ -168,7 +168,10 @@
                     new=self._new_connection,
                 )
             except http1.NoConnectionError as exc:
-                self._report_failure(str(exc))
+                if not edge_state.reachability.is_found_unreachable(
+                    self._backend.domain
+                ):
+                    self._report_failure(str(exc))
                 return retry_policy.AttemptOutcome.UNREACHED
             if edge_state.backoffs.is_active(
                 self._backend.key
--- a/src/lugcross/edge/domain_prober.py
+++ b/src/lugcross/edge/domain_prober.py
@@ -11,7 +11,7 @@
 
 #: Time between two checks whether a probe is due; short against the time
 #: between two probes.
-_CHECK_INTERVAL_S = 0.05
+_CHECK_INTERVAL_S = 0.025
 #: Many round trips within a region. Waiting for longer would not help after
 #: a lost packet, which is sent again after a second.
 _CONNECT_TIMEOUT_S = 0.2
@@ -52,7 +52,7 @@
             )
         except http1.NoConnectionError:
             self._reachability.record_not_connected(
-                probe.domain, probe.server, begun_at=begun_at
+                probe.domain, probe.server, begun_at=begun_at, probe=True
             )
             return
         conn.close()
--- a/src/lugcross/reachability/domain_reachability.py
+++ b/src/lugcross/reachability/domain_reachability.py
@@ -20,20 +20,26 @@
 from lugcross import ids
 from lugcross.reachability import domain_record
 
-#: Servers of a domain to which connections must have failed. Two may crash
-#: together.
+#: Servers of a domain to which connections must have failed where nothing is
+#: known of its other servers. Two may crash together.
 _MIN_FAILED_SERVERS = 3
-#: The same for a domain with fewer servers; a single one is never enough.
-_MIN_FAILED_SERVERS_OF_SMALL_DOMAIN = 2
+#: Servers that must have been probed in vain, where others are known. Requests
+#: go to crashed servers again and again, as these look idle: by requests alone
+#: three crashed servers of six made their domain unreachable, and with two
+#: probes four of six still did.
+_MIN_FAILED_PROBES = 3
+#: Servers that must have failed where these are all servers of the domain; a
+#: single one is never enough.
+_MIN_FAILED_OF_ALL_SERVERS = 2
 #: Failures after which further servers are probed, so that the last failures
 #: cost no caller an attempt. One is enough where a peer has reported the
 #: domain.
 _FAILED_SERVERS_TO_PROBE = 2
 _FAILED_SERVERS_TO_PROBE_REPORTED = 1
 #: Time between two probes of a domain that may be unreachable.
-_SUSPECTED_PROBE_INTERVAL = datetime.timedelta(milliseconds=50)
+_SUSPECTED_PROBE_INTERVAL = datetime.timedelta(milliseconds=20)
 #: Probes of a domain on suspicion, within the age of its failures.
-_MAX_SUSPECTED_PROBES = 3
+_MAX_SUSPECTED_PROBES = 4
 #: Time between two probes of a domain that is unreachable.
 _UNREACHABLE_PROBE_INTERVAL = datetime.timedelta(milliseconds=300)
 #: Age after which a peer's report is discarded, as for broken groups: several
@@ -104,8 +110,7 @@
         was_left_out = found.is_left_out()
         found.connected_at = now
         if found.failures or found.probed_at:
-            found.failures.clear()
-            found.probed_at.clear()
+            found.drop_failures()
         if not was_left_out:
             return
         since = found.unreachable_since
@@ -129,9 +134,11 @@
         server: str,
         *,
         begun_at: clock_lib.Instant | None = None,
+        probe: bool = False,
     ) -> None:
         """Record that a server could not be connected to.
 
+        :param probe: whether that was found by a probe.
         :param begun_at: when the attempt to connect began, by default now. If
             another server was connected to since then, it shows nothing about
             the domain.
@@ -145,10 +152,12 @@
         ):
             return
         found.failures[server] = now
+        if probe:
+            found.failed_probes.add(server)
         found.drop_old_failures(now)
-        if found.unreachable_since is not None or len(
-            found.failures
-        ) < self._needed_failures(domain):
+        if found.unreachable_since is not None or not self._is_cut_off(
+            found, self.servers_by_domain().get(domain, ())
+        ):
             return
         found.unreachable_since = now
         found.returned_at = None
@@ -158,14 +167,19 @@
         )
         self._rebuild(now)
 
-    def _needed_failures(self, domain: ids.DomainName) -> int:
-        servers = self.servers_by_domain().get(domain, ())
+    def _is_cut_off(
+        self, found: domain_record.DomainRecord, servers: Collection[str]
+    ) -> bool:
+        """Return whether the failed connections show that a domain is cut off.
+
+        :param servers: listed servers of the domain.
+        """
+        count = len(found.failures)
+        if servers and found.failures.keys() >= set(servers):
+            return count >= _MIN_FAILED_OF_ALL_SERVERS
         if not servers:
-            return _MIN_FAILED_SERVERS
-        return max(
-            _MIN_FAILED_SERVERS_OF_SMALL_DOMAIN,
-            min(_MIN_FAILED_SERVERS, len(servers)),
-        )
+            return count >= _MIN_FAILED_SERVERS
+        return len(found.failed_probes) >= _MIN_FAILED_PROBES
 
     def merge_report(
         self, reporter: str, domains: Iterable[ids.DomainName]
@@ -211,6 +225,14 @@
         self._update(self._clock.monotonic())
         return self._unreachable
 
+    def is_found_unreachable(self, domain: ids.DomainName) -> bool:
+        """Return whether this process could not connect to a domain.
+
+        Failed connections there are no faults of single servers.
+        """
+        found = self._domains.get(domain)
+        return found is not None and found.unreachable_since is not None
+
     def all_failed(self) -> bool:
         """Return whether no domain with servers could be connected to."""
         self._update(self._clock.monotonic())
@@ -360,8 +382,6 @@
             for domain, found in self._domains.items()
             if found.returned_at is not None
         )
-        if returning != self._returning:
-            self._returning = returning
         left_out = frozenset(
             domain
             for domain, found in self._domains.items()
@@ -371,11 +391,18 @@
         self._valid_until = (
             now + _LEFT_OUT_TTL if is_in_use else datetime.timedelta.max
         )
-        self._all_failed = bool(left_out) and left_out >= set(
-            self.servers_by_domain()
-        )
-        if self._all_failed:
-            left_out = frozenset()
+        if left_out or returning:
+            in_use = self.servers_by_domain().keys() - left_out
+            self._all_failed = bool(left_out) and not in_use
+            if self._all_failed:
+                left_out = frozenset()
+            if in_use <= {domain for domain, _ in returning}:
+                # No other domain has servers that would go on serving.
+                returning = frozenset()
+        else:
+            self._all_failed = False
+        if returning != self._returning:
+            self._returning = returning
         if left_out != self._unreachable:
             self._unreachable = left_out
             self.on_change()
--- a/src/lugcross/reachability/domain_record.py
+++ b/src/lugcross/reachability/domain_record.py
@@ -19,6 +19,7 @@
 
     :param failures: when the last connection to each server failed, by
         address; empty after a connection.
+    :param failed_probes: the servers among them to which a probe failed.
     :param unreachable_since: when it was found unreachable.
     :param connected_at: when a connection was made or a response came.
     :param returned_at: when its gradual return began.
@@ -30,6 +31,7 @@
     failures: dict[str, clock_lib.Instant] = dataclasses.field(
         default_factory=dict
     )
+    failed_probes: set[str] = dataclasses.field(default_factory=set)
     unreachable_since: clock_lib.Instant | None = None
     connected_at: clock_lib.Instant | None = None
     returned_at: clock_lib.Instant | None = None
@@ -48,6 +50,13 @@
             for server, at in self.failures.items()
             if now - at < FAILURE_MAX_AGE
         }
+        self.failed_probes &= self.failures.keys()
+
+    def drop_failures(self) -> None:
+        """Drop all failed connections, since another one was made."""
+        self.failures.clear()
+        self.failed_probes.clear()
+        self.probed_at.clear()
 
     def is_untested(self) -> bool:
         """Return whether it is doubted and was not connected to since."""
