--- a/src/lugcross/reachability/domain_reachability.py
+++ b/src/lugcross/reachability/domain_reachability.py
@@ -31,17 +31,6 @@
 #: Servers that must have failed where these are all servers of the domain; a
 #: single one is never enough.
 _MIN_FAILED_OF_ALL_SERVERS = 2
-#: Failures after which further servers are probed, so that the last failures
-#: cost no caller an attempt. One is enough where a peer has reported the
-#: domain.
-_FAILED_SERVERS_TO_PROBE = 2
-_FAILED_SERVERS_TO_PROBE_REPORTED = 1
-#: Time between two probes of a domain that may be unreachable.
-_SUSPECTED_PROBE_INTERVAL = datetime.timedelta(milliseconds=20)
-#: Probes of a domain on suspicion, within the age of its failures.
-_MAX_SUSPECTED_PROBES = 4
-#: Time between two probes of a domain that is unreachable.
-_UNREACHABLE_PROBE_INTERVAL = datetime.timedelta(milliseconds=300)
 #: Age after which a peer's report is discarded, as for broken groups: several
 #: heartbeats were lost, or the peer is gone.
 _REPORT_MAX_AGE = datetime.timedelta(seconds=1.2)
@@ -103,10 +92,16 @@
         self.count_peers_here: Callable[[], int] = lambda: 0
         self.on_change: Callable[[], None] = lambda: None
 
+    def _record(self, domain: ids.DomainName) -> domain_record.DomainRecord:
+        found = self._domains.get(domain)
+        if found is None:
+            found = self._domains[domain] = domain_record.DomainRecord()
+        return found
+
     def record_connected(self, domain: ids.DomainName, server: str) -> None:
         """Record that a server was connected to, or that it responded."""
         now = self._clock.monotonic()
-        found = self._domains.setdefault(domain, domain_record.DomainRecord())
+        found = self._record(domain)
         was_left_out = found.is_left_out()
         found.connected_at = now
         if found.failures or found.probed_at:
@@ -144,7 +139,7 @@
             the domain.
         """
         now = self._clock.monotonic()
-        found = self._domains.setdefault(domain, domain_record.DomainRecord())
+        found = self._record(domain)
         if (
             begun_at is not None
             and found.connected_at is not None
@@ -291,7 +286,7 @@
         now = self._clock.monotonic()
         self._update(now)
         for domain, found in self._domains.items():
-            if not self._probe_is_due(found, now):
+            if not found.probe_is_due(now):
                 continue
             servers = self.servers_by_domain().get(domain, ())
             found.probed_at = {
@@ -308,34 +303,6 @@
                 return Probe(domain, server)
         return None
 
-    def _probe_is_due(
-        self, found: domain_record.DomainRecord, now: clock_lib.Instant
-    ) -> bool:
-        interval = _SUSPECTED_PROBE_INTERVAL
-        if found.unreachable_since is not None:
-            interval = _UNREACHABLE_PROBE_INTERVAL
-        elif not found.is_untested():
-            if not found.failures:
-                return False
-            found.drop_old_failures(now)
-            recent = [
-                at
-                for at in found.probed_at.values()
-                if now - at < domain_record.FAILURE_MAX_AGE
-            ]
-            needed = (
-                _FAILED_SERVERS_TO_PROBE_REPORTED
-                if found.reports
-                else _FAILED_SERVERS_TO_PROBE
-            )
-            if (
-                len(found.failures) < needed
-                or len(recent) >= _MAX_SUSPECTED_PROBES
-            ):
-                return False
-        last = max(found.probed_at.values(), default=None)
-        return last is None or now - last >= interval
-
     def retain_only(self, known: Collection[ids.DomainName]) -> None:
         """Drop domains without servers."""
         gone = self._domains.keys() - set(known)
--- a/src/lugcross/reachability/domain_record.py
+++ b/src/lugcross/reachability/domain_record.py
@@ -10,6 +10,17 @@
 #: Age after which a failed connection no longer counts. Longer than the time
 #: in which a process with little load sends to three servers of a domain.
 FAILURE_MAX_AGE = datetime.timedelta(seconds=3)
+#: Failures after which further servers are probed, so that the last failures
+#: cost no caller an attempt. One is enough where a peer has reported the
+#: domain.
+_FAILED_SERVERS_TO_PROBE = 2
+_FAILED_SERVERS_TO_PROBE_REPORTED = 1
+#: Time between two probes of a domain that may be unreachable.
+_SUSPECTED_PROBE_INTERVAL = datetime.timedelta(milliseconds=20)
+#: Probes of a domain on suspicion, within the age of its failures.
+_MAX_SUSPECTED_PROBES = 4
+#: Time between two probes of a domain that is unreachable.
+_UNREACHABLE_PROBE_INTERVAL = datetime.timedelta(milliseconds=300)
 
 
 @final
@@ -74,3 +85,30 @@
         return max(
             self.probed_at.get(server, never), self.failures.get(server, never)
         )
+
+    def probe_is_due(self, now: clock_lib.Instant) -> bool:
+        """Return whether the domain is to be probed now."""
+        interval = _SUSPECTED_PROBE_INTERVAL
+        if self.unreachable_since is not None:
+            interval = _UNREACHABLE_PROBE_INTERVAL
+        elif not self.is_untested():
+            if not self.failures:
+                return False
+            self.drop_old_failures(now)
+            recent = [
+                at
+                for at in self.probed_at.values()
+                if now - at < FAILURE_MAX_AGE
+            ]
+            needed = (
+                _FAILED_SERVERS_TO_PROBE_REPORTED
+                if self.reports
+                else _FAILED_SERVERS_TO_PROBE
+            )
+            if (
+                len(self.failures) < needed
+                or len(recent) >= _MAX_SUSPECTED_PROBES
+            ):
+                return False
+        last = max(self.probed_at.values(), default=None)
+        return last is None or now - last >= interval
--- a/testing/edge/test_cut_domains.py
+++ b/testing/edge/test_cut_domains.py
@@ -143,7 +143,6 @@
         monkeypatch, seed, *cut, timing_out=timing_out, faults_only=True
     )
     lost = len(fleet.lost_connects(begun, ended))
-    print("lost", seed, timing_out, lost)
     lost_before = len(before.lost_connects(begun_before, ended_before))
     assert lost <= MAX_LOST < lost_before / 3
     assert not fleet.lost_connects(begun + FOUND_S, ended)
