--- a/src/lugcross/edge/request_forwarder.py
+++ b/src/lugcross/edge/request_forwarder.py
@@ -174,18 +174,20 @@
         )
         if backoff is not None:
             return self._all_backing_off_error(backoff)
-        if self._edge_state.backends.usable(self._checked.service):
-            reachable = self._edge_state.selection.has_reachable_server(
-                self._checked.service
-            )
-            return request_errors.cut_off(
-                "all rank groups of the service are broken"
-                if reachable
-                else "no backend server of the service can be reached",
-                self._time_left(),
-                self._rng,
-            )
-        return request_errors.not_ready("no backend server is known")
+        return self._no_server_error()
+
+    def _no_server_error(self) -> request_errors.RequestError:
+        """Return the refusal while no known server can serve the request."""
+        service = self._checked.service
+        if not self._edge_state.backends.usable(service):
+            return request_errors.not_ready("no backend server is known")
+        return request_errors.cut_off(
+            "all rank groups of the service are broken"
+            if self._edge_state.selection.has_reachable_server(service)
+            else "no backend server of the service can be reached",
+            self._time_left(),
+            self._rng,
+        )
 
     def _all_limited_error(self) -> request_errors.RequestError | None:
         """Return the refusal while all servers have reached their limits.
@@ -367,6 +369,8 @@
             )
             if backoff:
                 raise self._all_backing_off_error(backoff)
+            if backoff is None:
+                raise self._no_server_error()
             raise request_errors.unavailable(
                 f"no backend server ran the request ({outcome.value})",
                 self._time_left(),
--- a/src/lugcross/reachability/domain_reachability.py
+++ b/src/lugcross/reachability/domain_reachability.py
@@ -82,6 +82,8 @@
         self._domains: dict[ids.DomainName, domain_record.DomainRecord] = {}
         self._unreachable: frozenset[ids.DomainName] = frozenset()
         self._all_failed = False
+        #: What each process of the own domain last reported.
+        self._reported_by: dict[str, frozenset[ids.DomainName]] = {}
         self._returning: frozenset[tuple[ids.DomainName, int]] = frozenset()
         #: When these must be computed again.
         self._valid_until = datetime.timedelta.max
@@ -180,19 +182,24 @@
         self, reporter: str, domains: Iterable[ids.DomainName]
     ) -> None:
         """Replace what a process of the own domain finds unreachable."""
-        now = self._clock.monotonic()
-        reported = set(domains)
-        if not reported and not self._has_reports():
+        reported = frozenset(domains)
+        previous = self._reported_by.get(reporter, frozenset())
+        if not reported and not previous:
             return
-        before = self.confirmed_unreachable()
+        now = self._clock.monotonic()
+        is_new = reported != previous or any(
+            reporter not in self._record(domain).reports for domain in reported
+        )
+        before = self.confirmed_unreachable() if is_new else None
         for domain in reported:
-            found = self._domains.setdefault(
-                domain, domain_record.DomainRecord()
-            )
-            found.reports[reporter] = now
-        for domain, found in self._domains.items():
-            if domain not in reported:
-                found.reports.pop(reporter, None)
+            self._record(domain).reports[reporter] = now
+        if not is_new:
+            return
+        for domain in previous - reported:
+            self._record(domain).reports.pop(reporter, None)
+        self._reported_by[reporter] = reported
+        if not reported:
+            del self._reported_by[reporter]
         self._valid_until = now
         if before != self.confirmed_unreachable():
             self.on_change()
--- a/testing/reachability/test_domain_reachability.py
+++ b/testing/reachability/test_domain_reachability.py
@@ -276,6 +276,28 @@
     assert seen == [{CUT}, frozenset()]
 
 
+def test_confirmation_by_a_peer_is_announced(domains):
+    """The leader for expert maps reports broken groups without delay."""
+    seen = []
+    domains.count_peers_here = lambda: 1
+    _fail(domains)
+    domains.on_change = lambda: seen.append(domains.confirmed_unreachable())
+    for _ in range(3):
+        domains.merge_report("n2", [CUT])
+    domains.merge_report("n2", [])
+    assert seen == [{CUT}, frozenset()]
+
+
+def test_report_that_comes_again_after_a_silence_counts(domains, manual_clock):
+    domains.merge_report("n2", [CUT])
+    domains.merge_report("n3", [CUT])
+    manual_clock.advance(LONG)
+    assert not domains.unreachable()
+    domains.merge_report("n2", [CUT])
+    domains.merge_report("n3", [CUT])
+    assert domains.unreachable() == {CUT}
+
+
 def test_domain_without_servers_is_forgotten(domains):
     _fail(domains)
     domains.retain_only([OWN, THIRD])
