--- a/src/lugcross/edge/attempt.py
+++ b/src/lugcross/edge/attempt.py
@@ -168,7 +168,10 @@
                     new=self._new_connection,
                 )
             except http1.NoConnectionError as exc:
-                self._report_failure(str(exc))
+                if not edge_state.reachability.is_found_unreachable(
+                    self._backend.domain
+                ):
+                    self._report_failure(str(exc))
                 return retry_policy.AttemptOutcome.UNREACHED
             if (
                 edge_state.selection.is_evacuated(self._backend)
@@ -288,6 +291,11 @@
         if not conn.nothing_acknowledged() or not self._may_resend():
             return
         self._unacknowledged = True
+        self._edge_state.selection.reachability.record_not_connected(
+            self._backend.domain,
+            self._backend.address,
+            begun_at=self._sent_at,
+        )
         self._edge_state.pool.close_idle(self._backend.key)
         conn.close()
 
--- a/src/lugcross/edge/edge_state.py
+++ b/src/lugcross/edge/edge_state.py
@@ -76,13 +76,11 @@
         self.count_known_peers: Callable[[], int] = lambda: 0
         self.desired: desired.DesiredState | None = None
         self.desired_history = desired_history_lib.DesiredHistory()
-        self.pool = connection_pool.ConnectionPool(clock)
         self.selection = server_selection_lib.ServerSelection(
             clock=clock,
             rng=rng,
             own_domain=ids.DomainName(settings.domain),
             max_drain_time=lambda: self.bounds.max_drain_time,
-            has_idle_connection=self.pool.has_idle,
         )
         self.backends = self.selection.backends
         self.loads = self.selection.loads
@@ -94,6 +92,10 @@
         self.evacuations = self.selection.evacuations
         self.workspace_usage = workspace_usage.WorkspaceUsage(clock)
         self.workspace_usage.weights = settings.shares.weights
+        self.reachability = self.selection.reachability
+        self.reachability.own_address = settings.listen.peers
+        self.pool = connection_pool.ConnectionPool(clock, self.reachability)
+        self.selection.has_idle_connection = self.pool.has_idle
         self.metrics = metrics_lib.EdgeMetrics()
         self.crash_tracker = crash_tracker_lib.CrashTracker(
             clock, software_versions=self.software_versions
@@ -176,6 +178,7 @@
     ) -> None:
         """Apply the state that a server reports in its response headers."""
         key = backend.key
+        self.reachability.record_connected(backend.domain, backend.address)
         if head.load is not None:
             self.loads.record_reported_load(key, head.load)
         if head.leaving and not head.wrong_instance:
@@ -386,6 +389,7 @@
         self.pool.close_unusable(known)
         self.loads.retain_only(known)
         self.limits.retain_only(known)
+        self.reachability.retain_only(self.backends.addresses_by_domain())
 
 
 def _exempt_requests(
--- a/src/lugcross/edge/messages.py
+++ b/src/lugcross/edge/messages.py
@@ -11,6 +11,7 @@
 from lugcross.edge import patches
 from lugcross import evacuation
 from lugcross import positions
+from lugcross import reachability
 
 #: Number of requests in progress; one process never has as many as the limit.
 _Count = Annotated[int, msgspec.Meta(ge=0, le=1_000_000)]
@@ -167,6 +168,8 @@
     :param evacuations: failure domains that are evacuated, and those whose
         evacuation was withdrawn lately; None from an older build, which knows
         of none.
+    :param unreachable_domains: failure domains whose backend servers the
+        sender could not connect to.
     """
 
     node: str
@@ -199,6 +202,10 @@
         ]
         | None
     ) = None
+    unreachable_domains: Annotated[
+        list[_Name],
+        msgspec.Meta(max_length=reachability.MAX_REPORTED_DOMAINS),
+    ] = []
 
 
 @final
--- a/src/lugcross/edge/metrics.py
+++ b/src/lugcross/edge/metrics.py
@@ -123,6 +123,10 @@
                     "edge_evacuated_domains",
                     "Failure domains that are evacuated.",
                 ),
+                (
+                    "edge_unreachable_domains",
+                    "Failure domains that can't be reached from here.",
+                ),
             )
         }
 
--- a/src/lugcross/edge/request_forwarder.py
+++ b/src/lugcross/edge/request_forwarder.py
@@ -192,11 +192,20 @@
         )
         if backoff is not None:
             return self._all_backing_off_error(backoff)
-        if self._edge_state.backends.usable(self._checked.service):
-            return request_errors.unavailable(
-                "all rank groups of the service are broken", self._time_left()
-            )
-        return request_errors.not_ready("no backend server is known")
+        return self._no_server_error()
+
+    def _no_server_error(self) -> request_errors.RequestError:
+        """Return the refusal while no known server can serve the request."""
+        service = self._checked.service
+        if not self._edge_state.backends.usable(service):
+            return request_errors.not_ready("no backend server is known")
+        return request_errors.cut_off(
+            "all rank groups of the service are broken"
+            if self._edge_state.selection.has_reachable_server(service)
+            else "no backend server of the service can be reached",
+            self._time_left(),
+            self._rng,
+        )
 
     def _all_limited_error(self) -> request_errors.RequestError | None:
         """Return the refusal while all servers have reached their limits.
@@ -302,7 +311,10 @@
 
         A retry costs nothing while no attempt has reached a backend server.
         """
-        obstacle = retry_policy.retry_obstacle(self._state)
+        obstacle = retry_policy.retry_obstacle(
+            self._state,
+            servers_left=self._servers_left(choice),
+        )
         if obstacle is not None:
             return obstacle
         if self._not_admitted_reason is not None:
@@ -319,12 +331,25 @@
             response_started=self._state.response_started,
         ):
             return retry_policy.RetryObstacle.CRASHES
-        if self._state.attempts_sent and not self._edge_state.spend_retry(
-            self._checked.service, outcome
-        ):
+        if retry_policy.costs_budget(
+            self._state, outcome
+        ) and not self._edge_state.spend_retry(self._checked.service, outcome):
             return retry_policy.RetryObstacle.NO_BUDGET
         return None
 
+    def _servers_left(
+        self, choice: backend_choice.BackendChoice | None
+    ) -> bool:
+        """Return whether ``choice`` is a server that has not failed lately.
+
+        Where no domain can be reached, none is known to be any better.
+        """
+        return (
+            choice is not None
+            and not choice.best.avoided
+            and not self._edge_state.reachability.all_failed()
+        )
+
     def _choose_backend(self) -> backend_choice.BackendChoice | None:
         if self._is_suspect():
             return self._edge_state.selection.choose_for_suspect(
@@ -365,6 +390,8 @@
             )
             if backoff:
                 raise self._all_backing_off_error(backoff)
+            if backoff is None:
+                raise self._no_server_error()
             raise request_errors.unavailable(
                 f"no backend server ran the request ({outcome.value})",
                 self._time_left(),
--- a/src/lugcross/edge/server_selection.py
+++ b/src/lugcross/edge/server_selection.py
@@ -7,6 +7,7 @@
 import dataclasses
 import datetime
 import random
+from typing import Any
 from typing import final
 
 from lugcross import clock as clock_lib
@@ -24,6 +25,7 @@
 from lugcross.edge import server_limits as server_limits_lib
 from lugcross import evacuation
 from lugcross import ids
+from lugcross import reachability as reachability_lib
 
 #: Fraction of its slots up to which a server that refuses a request is not
 #: merely full. Requests that have just started at peers are not known yet.
@@ -37,19 +39,19 @@
 
     :param listed: usable servers of the service.
     :param filter_sets: the servers of broken groups, and those that are
-        backing off, refusing, limited or slow, of all services; and the
-        evacuated domains.
+        backing off, refusing, limited or slow, of all services; the
+        evacuated and the unreachable domains, and those used again in part.
     :param servers: the result, which may include slow servers.
     """
 
     listed: tuple[desired.Backend, ...]
-    filter_sets: tuple[frozenset[str], ...]
+    filter_sets: tuple[frozenset[Any], ...]
     servers: eligible_servers_lib.EligibleServers
 
     def is_current(
         self,
         listed: tuple[desired.Backend, ...],
-        filter_sets: tuple[frozenset[str], ...],
+        filter_sets: tuple[frozenset[Any], ...],
     ) -> bool:
         """Return whether the inputs are the same objects as before."""
         pairs = zip(self.filter_sets, filter_sets, strict=True)
@@ -62,11 +64,12 @@
 
     :param max_drain_time: returns the time after which a leaving server must
         get no new requests.
-    :param has_idle_connection: returns whether this process has an idle
+    :ivar has_idle_connection: returns whether this process has an idle
         connection to a server.
     :ivar refusing: servers that refuse whatever they are sent.
     :ivar limits: limits that servers state for all processes together.
     :ivar evacuations: failure domains whose servers get no requests.
+    :ivar reachability: failure domains that this process cannot reach.
     """
 
     def __init__(
@@ -76,12 +79,13 @@
         rng: random.Random,
         own_domain: ids.DomainName,
         max_drain_time: Callable[[], datetime.timedelta],
-        has_idle_connection: Callable[[desired.BackendKey], bool],
     ) -> None:
         self._clock = clock
         self._rng = rng
         self._own_domain = own_domain
-        self._has_idle_connection = has_idle_connection
+        self.has_idle_connection: Callable[[desired.BackendKey], bool] = (
+            lambda key: False
+        )
         self.backends = backends_lib.Backends(
             clock, max_drain_time=max_drain_time
         )
@@ -94,6 +98,8 @@
         self.limits = server_limits_lib.ServerLimits(clock)
         self.refusing = refusing_servers_lib.RefusingServers(clock)
         self.evacuations = evacuation.Evacuations(clock)
+        self.reachability = reachability_lib.DomainReachability(clock)
+        self.reachability.servers_by_domain = self.backends.addresses_by_domain
         self._probe_allowances: dict[
             ids.ServiceName, probe_allowance_lib.ProbeAllowance
         ] = {}
@@ -116,6 +122,8 @@
         refusing = self.refusing.servers()
         limited = self.limits.servers()
         evacuated = self.evacuations.domains()
+        unreachable = self.reachability.unreachable()
+        returning = self.reachability.returning()
         filter_sets = (
             broken,
             backing_off,
@@ -123,6 +131,8 @@
             limited,
             slow,
             evacuated,
+            unreachable,
+            returning,
         )
         cached = self._eligible_servers.get(service)
         if cached and cached.is_current(listed, filter_sets):
@@ -131,8 +141,14 @@
         usable = [
             one
             for one in listed
-            if one.key not in unavailable and one.domain not in evacuated
+            if one.key not in unavailable
+            and one.domain not in evacuated
+            and one.domain not in unreachable
         ]
+        if returning:
+            usable = eligible_servers_lib.without_unused(
+                usable, self.reachability
+            )
         accepting = [one for one in usable if one.key not in refusing]
         usable = eligible_servers_lib.without_slow(accepting or usable, slow)
         found = eligible_servers_lib.split_by_domain(
@@ -143,16 +159,28 @@
         )
         return found
 
+    def has_reachable_server(self, service: ids.ServiceName) -> bool:
+        """Return whether a server of the service is in a reachable domain."""
+        unreachable = self.reachability.unreachable()
+        return any(
+            one.domain not in unreachable
+            for one in self.backends.usable(service)
+        )
+
     def remaining_backoff(
         self, service: ids.ServiceName
     ) -> datetime.timedelta | None:
         """Return the time until the first server's backoff ends.
 
         :returns: 0 if a server is not backing off; None if the service has no
-            servers outside broken rank groups and evacuated domains.
+            reachable servers outside broken rank groups and evacuated
+            domains.
         """
+        unreachable = self.reachability.unreachable()
         outside_broken_groups = {
-            one.key for one in self._outside_evacuated_domains(service)
+            one.key
+            for one in self._outside_evacuated_domains(service)
+            if one.domain not in unreachable
         } - self.broken_group_servers.servers()
         if outside_broken_groups - self.backoffs.servers():
             return datetime.timedelta()
@@ -176,9 +204,10 @@
             if probe is not None:
                 return probe
         limited = self._limited_with_room(service)
-        found = self._choose_among(
-            [*servers.sample(self._rng), *limited], tried
+        sample = eligible_servers_lib.without_returning(
+            servers.sample(self._rng), self.reachability, self._rng
         )
+        found = self._choose_among([*sample, *limited], tried)
         if found is None or found.best.avoided:
             found = self._choose_among([*servers.all, *limited], tried)
         if not tried and (found is None or found.best.avoided):
@@ -250,10 +279,13 @@
         unavailable = (
             self.broken_group_servers.servers() | self.backoffs.servers()
         )
+        unreachable = self.reachability.unreachable()
         return [
             one
             for one in self._outside_evacuated_domains(service)
-            if one.key in keys and one.key not in unavailable
+            if one.key in keys
+            and one.key not in unavailable
+            and one.domain not in unreachable
         ]
 
     def _outside_evacuated_domains(
@@ -381,7 +413,7 @@
                 probing_after_backoff=self.loads.is_probing_after_backoff(
                     one.key
                 ),
-                has_idle_connection=self._has_idle_connection(one.key),
+                has_idle_connection=self.has_idle_connection(one.key),
             )
             for one, count in zip(servers, request_counts, strict=True)
         ]
