Refuse a request whose copies crash several servers after the same run time

Copies of a crashing request at five processes at once crashed four servers and their retries one more; the next caller's request was still let through to a sixth, seconds later. Copies at once count as one crash, so that only two crashes counted and three are needed.

Where three or more servers crashed under a request, all after the same run time within 50 ms, and none crashed without it, two counted crashes are enough. An outage of a fleet ends copies at different points of their runs.

--- a/src/lugcross/crash_suspects/registry.py
+++ b/src/lugcross/crash_suspects/registry.py
@@ -15,6 +15,9 @@
 - A request is refused after three crashes. Two are not enough: where servers
   crash for other reasons, one request now and then runs at two of them in a
   row, and nothing distinguishes it from a cause.
+- Two are enough if copies of it ran at three or more servers that crashed,
+  each after the same run time, and no server crashed without it around then.
+  Copies at several processes at once would otherwise crash a server more.
 - Four are needed if, around the same time, more servers crashed without the
   request than with it.
 - A request that completes is cleared of all earlier crashes.
@@ -34,6 +37,9 @@
 #: crash also fails the other requests of the server, and of its whole rank
 #: group if it belongs to one.
 CRASHES_TO_REFUSE = 3
+#: The same if at least :data:`CRASHES_TO_REFUSE` servers crashed under it,
+#: some under copies at the same time, and all after the same run time.
+CRASHES_TO_REFUSE_IF_COPIES_AGREE = 2
 #: The same if around that time more servers crashed without the request than
 #: with it: an innocent request may be running at three of them by chance.
 CRASHES_TO_REFUSE_IF_MOST_UNRELATED = 4
@@ -45,8 +51,9 @@
 #: not run the request shows that servers also crash for other reasons: a rack
 #: or failure domain that loses power, or servers that restart in turn.
 UNRELATED_CRASH_WINDOW = datetime.timedelta(seconds=10)
-#: Time by which a run may seem to begin before the crash that it followed:
-#: network latency, and a process that was busy when the connection broke.
+#: Difference between two run times that is not significant, and time by which
+#: a run may seem to begin before the crash that it followed: network latency,
+#: and a process that was busy when the connection broke.
 RUN_TIME_TOLERANCE = datetime.timedelta(milliseconds=50)
 #: How long a crash counts against a request. After that its callers may try
 #: it again, at the cost of at least two more crashes if nothing was fixed.
@@ -292,10 +299,7 @@
         if record is None:
             return []
         return _sequential_crashes(
-            crash
-            for crash in record.crashes_since_cleared
-            if crash.software in software_versions
-            and crash.crashed_at > now - SUSPICION_TTL
+            _valid_crashes(record, software_versions, now)
         )
 
     def status(
@@ -308,15 +312,34 @@
         crashes = self.counted_crashes(request, software_versions, now)
         if not crashes:
             return SuspectStatus.NOT_SUSPECT
-        if len(crashes) >= CRASHES_TO_REFUSE and len(
-            crashes
-        ) >= self._refusal_threshold(crashes):
+        if len(crashes) < CRASHES_TO_REFUSE_IF_COPIES_AGREE:
+            return SuspectStatus.SUSPECT
+        all_crashes = _valid_crashes(
+            self._records[request], software_versions, now
+        )
+        if len(crashes) >= self._refusal_threshold(crashes, all_crashes):
             return SuspectStatus.REFUSED
         return SuspectStatus.SUSPECT
 
-    def _refusal_threshold(self, crashes: Collection[ServerCrash]) -> int:
-        """Return the number of crashes after which to refuse a request."""
-        others = self._unrelated_crashed_servers(crashes)
+    def _refusal_threshold(
+        self,
+        crashes: Collection[ServerCrash],
+        all_crashes: Collection[ServerCrash],
+    ) -> int:
+        """Return the number of crashes after which to refuse a request.
+
+        :param crashes: the crashes that count.
+        :param all_crashes: the same with those under copies that ran at the
+            same time.
+        """
+        others = self._unrelated_crashed_servers(all_crashes)
+        run_times = [crash.ran_for for crash in all_crashes]
+        if (
+            not others
+            and len(all_crashes) >= CRASHES_TO_REFUSE
+            and max(run_times) - min(run_times) <= RUN_TIME_TOLERANCE
+        ):
+            return CRASHES_TO_REFUSE_IF_COPIES_AGREE
         return (
             CRASHES_TO_REFUSE
             if len(others) <= len(crashes)
@@ -359,6 +382,20 @@
         del self._records[least.request]
 
 
+def _valid_crashes(
+    record: SuspectRecord,
+    software_versions: Collection[str],
+    now: clock_lib.Instant,
+) -> list[ServerCrash]:
+    """Return the crashes that may count, also those under copies."""
+    return [
+        crash
+        for crash in record.crashes_since_cleared
+        if crash.software in software_versions
+        and crash.crashed_at > now - SUSPICION_TTL
+    ]
+
+
 def _sequential_crashes(crashes: Iterable[ServerCrash]) -> list[ServerCrash]:
     """Return the crashes without those whose runs overlap an earlier one.
 
--- a/testing/crash_suspects/test_registry.py
+++ b/testing/crash_suspects/test_registry.py
@@ -126,6 +126,52 @@
     assert len(registry.counted_crashes(A, SOFTWARE, at(4))) == 2
 
 
+@pytest.mark.parametrize(
+    ("run_times_s", "unrelated", "status"),
+    [
+        pytest.param(
+            (0.1, 0.1, 0.12, 0.1),
+            False,
+            crash_suspects.SuspectStatus.REFUSED,
+            id="same-run-time",
+        ),
+        pytest.param(
+            (0.5, 0.1, 0.3, 0.1),
+            False,
+            crash_suspects.SuspectStatus.SUSPECT,
+            id="other-run-times",
+        ),
+        pytest.param(
+            (0.1, 0.1, 0.1, 0.1),
+            True,
+            crash_suspects.SuspectStatus.SUSPECT,
+            id="another-server-crashed",
+        ),
+    ],
+)
+def test_copies_that_crash_servers_after_the_same_run_time_are_the_cause(
+    registry, run_times_s, unrelated, status
+):
+    """Copies at five processes crashed five servers and, seconds later, one.
+
+    All copies at once count as one crash and their retries as the second, so
+    that the next caller's request was still let through to a server.
+    """
+    first, second, third, again = run_times_s
+    _record(
+        registry,
+        A,
+        crash("s1", 1.0, ran=first),
+        crash("s2", 1.0, ran=second),
+        crash("s3", 1.0, ran=third),
+    )
+    assert _status(registry, A) is crash_suspects.SuspectStatus.SUSPECT
+    _record(registry, A, crash("s4", 1.5, ran=again))
+    if unrelated:
+        _record(registry, B, crash("s5", 1.2))
+    assert _status(registry, A) is status
+
+
 def test_one_server_counts_once_whoever_saw_its_crash(registry):
     for seen in (1.0, 1.2, 4.0):
         _record(registry, A, crash("s1", seen))
