--- a/src/lugcross/edge/backend_choice.py
+++ b/src/lugcross/edge/backend_choice.py
@@ -33,8 +33,6 @@
         request since.
     :param probing_after_backoff: whether the probe after a backoff is still
         in progress.
-    :param has_idle_connection: whether this process has an open connection to
-        it that no request uses.
     """
 
     backend: desired.Backend
@@ -42,7 +40,6 @@
     avoided: bool = False
     on_probation: bool = False
     probing_after_backoff: bool = False
-    has_idle_connection: bool = False
 
     @property
     def load(self) -> float:
@@ -75,9 +72,7 @@
     There is none if each was tried already or is being probed after a backoff.
     Avoided servers are used only if there are no others. A request that was
     already sent to one server is not used to probe another, unless only
-    servers on probation are left. Of equally loaded servers, those with an
-    idle connection go first: opening one takes a round trip and a slot of the
-    server.
+    servers on probation are left.
 
     :param own_domain: failure domain of this process; its servers are
         preferred.
@@ -103,7 +98,6 @@
                 if c.backend.domain == own_domain
                 else OTHER_DOMAIN_PENALTY_FRACTION
             ),
-            not c.has_idle_connection,
             rng.random(),
         ),
     )
--- a/src/lugcross/edge/connection_pool.py
+++ b/src/lugcross/edge/connection_pool.py
@@ -99,11 +99,6 @@
         self._reachability.record_connected(backend.domain, backend.address)
         return conn
 
-    def has_idle(self, key: desired.BackendKey) -> bool:
-        """Return whether there is an idle connection that may be reused."""
-        idle = self._idle.get(key, [])
-        return bool(idle) and self._clock.monotonic() < idle[-1].expires_at
-
     def release(
         self,
         backend: desired.Backend,
--- a/src/lugcross/edge/edge_state.py
+++ b/src/lugcross/edge/edge_state.py
@@ -95,7 +95,6 @@
         self.reachability = self.selection.reachability
         self.reachability.own_address = settings.listen.peers
         self.pool = connection_pool.ConnectionPool(clock, self.reachability)
-        self.selection.has_idle_connection = self.pool.has_idle
         self.metrics = metrics_lib.EdgeMetrics()
         self.crash_tracker = crash_tracker_lib.CrashTracker(
             clock, software_versions=self.software_versions
--- a/src/lugcross/edge/server_selection.py
+++ b/src/lugcross/edge/server_selection.py
@@ -64,8 +64,6 @@
 
     :param max_drain_time: returns the time after which a leaving server must
         get no new requests.
-    :ivar has_idle_connection: returns whether this process has an idle
-        connection to a server.
     :ivar refusing: servers that refuse whatever they are sent.
     :ivar limits: limits that servers state for all processes together.
     :ivar evacuations: failure domains whose servers get no requests.
@@ -83,9 +81,6 @@
         self._clock = clock
         self._rng = rng
         self._own_domain = own_domain
-        self.has_idle_connection: Callable[[desired.BackendKey], bool] = (
-            lambda key: False
-        )
         self.backends = backends_lib.Backends(
             clock, max_drain_time=max_drain_time
         )
@@ -413,7 +408,6 @@
                 probing_after_backoff=self.loads.is_probing_after_backoff(
                     one.key
                 ),
-                has_idle_connection=self.has_idle_connection(one.key),
             )
             for one, count in zip(servers, request_counts, strict=True)
         ]
