Limit what all processes send to a cold server

Nothing read how long a backend server is cold after its start, so that processes sent idle cold servers more than they can handle.

testing/rate_limits/test_cold_fleet.py, 37 processes in virtual time while a failure domain comes back cold under load: at most 39 requests a second are allowed.

--- a/src/lugcross/desired/__init__.py
+++ b/src/lugcross/desired/__init__.py
@@ -5,6 +5,7 @@
 from lugcross.desired.backend import BackendId
 from lugcross.desired.backend import BackendKey
 from lugcross.desired.backend import BackendState
+from lugcross.desired.state import ColdLimit
 from lugcross.desired.state import DesiredState
 from lugcross.desired.state import EngineSpec
 from lugcross.desired.state import RequestLimits
@@ -19,6 +20,7 @@
     "BackendId",
     "BackendKey",
     "BackendState",
+    "ColdLimit",
     "DesiredState",
     "EngineSpec",
     "RequestLimits",
--- a/src/lugcross/desired/backend.py
+++ b/src/lugcross/desired/backend.py
@@ -2,6 +2,7 @@
 """Backend servers as listed by the platform."""
 
 import dataclasses
+import datetime
 import enum
 import functools
 from typing import final
@@ -35,6 +36,7 @@
     :param domain: failure domain.
     :param slots: requests that it processes concurrently.
     :param software_version: version of the service that it runs.
+    :param cold_time: how much longer it was cold when it wrote its entry.
     """
 
     id: BackendId
@@ -46,6 +48,7 @@
     slots: int
     state: BackendState
     software_version: str = ""
+    cold_time: datetime.timedelta = datetime.timedelta()
 
     @functools.cached_property
     def key(self) -> BackendKey:
--- a/src/lugcross/desired/state.py
+++ b/src/lugcross/desired/state.py
@@ -104,6 +104,19 @@
     experts: experts_lib.ExpertLimits | None = None
 
 
+@final
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ColdLimit:
+    """What a backend server can handle for some time after its start.
+
+    :param duration: longest time for which it is cold.
+    :param requests_per_s: requests a second that it can handle then.
+    """
+
+    duration: datetime.timedelta
+    requests_per_s: float
+
+
 @final
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Service:
@@ -113,12 +126,15 @@
     :param max_connections: connections that one of its backend servers accepts
         from all clients together; 0 sets no limit.
     :param engine: performance model; None if it runs no model engine.
+    :param cold_limit: limit of its cold backend servers; None if there is
+        none.
     """
 
     name: ids.ServiceName
     health_path: str = "/health"
     max_connections: int = 0
     engine: EngineSpec | None = None
+    cold_limit: ColdLimit | None = None
 
 
 @final
--- a/src/lugcross/edge/admission.py
+++ b/src/lugcross/edge/admission.py
@@ -26,7 +26,8 @@
 class LoadSnapshot:
     """Load of a service, as one process estimates it.
 
-    :param servers: number of eligible backend servers.
+    :param servers: number of eligible backend servers; a cold one counts in
+        part.
     :param slots: slots of all eligible servers.
     :param requests: requests in progress at all eligible servers.
     :param least_busy_requests: requests at the least busy server that was
@@ -35,7 +36,7 @@
         since their last heartbeat.
     """
 
-    servers: int
+    servers: float
     slots: int
     requests: int
     least_busy_requests: int
--- a/src/lugcross/edge/app.py
+++ b/src/lugcross/edge/app.py
@@ -273,6 +273,7 @@
             peers=len(self.state_sync.peers.live()),
             connections=len(self._conns),
             suspects=len(self.edge_state.crash_tracker.registry),
+            edge_cold_servers=len(self.edge_state.limits.cold_servers()),
         )
         self.edge_state.metrics.set_workspace_running(
             self.edge_state.workspace_usage.counts_by_service()
--- a/src/lugcross/edge/messages.py
+++ b/src/lugcross/edge/messages.py
@@ -9,6 +9,7 @@
 
 from lugcross import crash_suspects
 from lugcross.edge import patches
+from lugcross import rate_limits
 
 #: Number of requests in progress; one process never has as many as the limit.
 _Count = Annotated[int, msgspec.Meta(ge=0, le=1_000_000)]
@@ -88,25 +89,6 @@
     accepted_age_ms: Annotated[int, msgspec.Meta(ge=-1, le=MAX_REFUSAL_AGE_MS)]
 
 
-#: Longest reported age of a server's limit.
-MAX_LIMIT_AGE_MS = 3_600_000
-
-
-@final
-class ServerLimit(msgspec.Struct, frozen=True, array_like=True):
-    """What the newest response of a backend server says of its limit.
-
-    :param server: the life of the backend server.
-    :param rate_per_s: requests a second that it takes from all processes;
-        None if it states no limit any more.
-    :param age_ms: milliseconds since the response.
-    """
-
-    server: _Name
-    rate_per_s: Annotated[float, msgspec.Meta(ge=0)] | None
-    age_ms: Annotated[int, msgspec.Meta(ge=0, le=MAX_LIMIT_AGE_MS)]
-
-
 @final
 class Heartbeat(msgspec.Struct, frozen=True, array_like=True):
     """State of one edge process, sent to its peers in a datagram.
@@ -147,6 +129,8 @@
     :param server_reports: backend servers that have lately refused requests
         of the sender, or accepted one after that.
     :param server_limits: some of the limits that backend servers state.
+    :param cold_servers: backend servers whose responses have just told the
+        sender that they are cold.
     """
 
     node: str
@@ -171,7 +155,11 @@
     suspects: list[Suspect] = []
     leaving_backends: list[_Name] = []
     server_reports: list[ServerReport] = []
-    server_limits: list[ServerLimit] = []
+    server_limits: list[rate_limits.ServerLimitMessage] = []
+    cold_servers: Annotated[
+        list[rate_limits.ColdServerMessage],
+        msgspec.Meta(max_length=rate_limits.MAX_COLD_MESSAGES),
+    ] = []
 
 
 @final
--- a/src/lugcross/edge/metrics.py
+++ b/src/lugcross/edge/metrics.py
@@ -72,6 +72,12 @@
             ("service",),
             registry=self._registry,
         )
+        self._cold_refused = prometheus_client.Counter(
+            "lugcross_edge_cold_refused",
+            "Requests refused since no cold backend server could take one.",
+            ("service",),
+            registry=self._registry,
+        )
         self._first_byte = prometheus_client.Histogram(
             "lugcross_first_byte_seconds",
             "Time from a request's head to the first of its answer.",
@@ -104,6 +110,7 @@
                 ("peers", "Peers that were heard lately."),
                 ("connections", "Callers' connections that are open."),
                 ("suspects", "Requests under which servers have ended."),
+                ("edge_cold_servers", "Backend servers that are cold."),
             )
         }
 
@@ -141,6 +148,10 @@
         """Count a request refused because all servers are backing off."""
         self._backoffs_refused.labels(service).inc()
 
+    def count_cold_refused(self, service: str) -> None:
+        """Count a request refused because the servers are cold."""
+        self._cold_refused.labels(service).inc()
+
     def count_suspect_refused(self, service: str) -> None:
         """Count a request refused because it is a crash suspect."""
         self._suspects_refused.labels(service).inc()
--- a/src/lugcross/edge/request_forwarder.py
+++ b/src/lugcross/edge/request_forwarder.py
@@ -190,6 +190,8 @@
         )
         if wait is None:
             return None
+        if self._edge_state.limits.cold_servers():
+            self._edge_state.metrics.count_cold_refused(self._checked.service)
         return request_errors.all_limited(wait, self._rng)
 
     def _all_backing_off_error(
--- a/src/lugcross/edge/server_selection.py
+++ b/src/lugcross/edge/server_selection.py
@@ -21,8 +21,8 @@
 from lugcross.edge import probe_allowance as probe_allowance_lib
 from lugcross.edge import refusing_servers as refusing_servers_lib
 from lugcross.edge import server_backoffs as server_backoffs_lib
-from lugcross.edge import server_limits as server_limits_lib
 from lugcross import ids
+from lugcross import rate_limits
 
 #: Fraction of its slots up to which a server that refuses a request is not
 #: merely full. Requests that have just started at peers are not known yet.
@@ -61,7 +61,8 @@
     :param max_drain_time: returns the time after which a leaving server must
         get no new requests.
     :ivar refusing: servers that refuse whatever they are sent.
-    :ivar limits: limits that servers state for all processes together.
+    :ivar limits: limits that servers state for all processes together, and
+        cold servers.
     """
 
     def __init__(
@@ -84,7 +85,7 @@
         self.broken_group_servers = flagged_servers_lib.FlaggedServers(clock)
         self.slow_servers = flagged_servers_lib.FlaggedServers(clock)
         self.backoffs = server_backoffs_lib.ServerBackoffs(clock)
-        self.limits = server_limits_lib.ServerLimits(clock)
+        self.limits = rate_limits.ServerLimits(clock)
         self.refusing = refusing_servers_lib.RefusingServers(clock)
         self._probe_allowances: dict[
             ids.ServiceName, probe_allowance_lib.ProbeAllowance
@@ -157,15 +158,49 @@
             if probe is not None:
                 return probe
         limited = self._limited_with_room(service)
-        found = self._choose_among(
-            [*servers.sample(self._rng), *limited], tried
-        )
+        sample = self._without_waiting_cold(servers.sample(self._rng))
+        found = self._choose_among([*sample, *limited], tried)
         if found is None or found.best.avoided:
-            found = self._choose_among([*servers.all, *limited], tried)
+            everyone = self._without_waiting_cold(servers.all)
+            found = self._choose_among([*everyone, *limited], tried)
         if not tried and (found is None or found.best.avoided):
             found = self._choose_probe(service) or found
         return found or self._choose_among(self._refusing(service), tried)
 
+    def _without_waiting_cold(
+        self, servers: Sequence[desired.Backend]
+    ) -> Sequence[desired.Backend]:
+        """Return the servers without cold ones that take no request now."""
+        cold = self.limits.cold_servers()
+        if not cold:
+            return servers
+        return [
+            one
+            for one in servers
+            if one.key not in cold or self.limits.may_send(one.key)
+        ]
+
+    def capacity(self, service: ids.ServiceName) -> tuple[float, int]:
+        """Return how many servers' capacity, and slots, are open to requests.
+
+        A cold server counts with the requests that it has and those that its
+        rate allows shortly, at most with its slots.
+        """
+        servers = self.eligible_servers(service)
+        cold = servers.keys & self.limits.cold_servers()
+        if not cold:
+            return len(servers), servers.slots
+        count = float(len(servers))
+        slots = float(servers.slots)
+        some = [one for one in servers.all if one.key in cold]
+        requests = self.loads.requests_at_each(one.key for one in some)
+        for one, present in zip(some, requests, strict=True):
+            open_slots = present + self.limits.cold.room(one.key)
+            closed = max(0.0, one.slots - open_slots)
+            count -= closed / one.slots
+            slots -= closed
+        return count, int(slots)
+
     def choose_spare(
         self, service: ids.ServiceName
     ) -> backend_choice.BackendChoice | None:
@@ -245,9 +280,11 @@
         :returns: None if a server without a limit could be used, or if the
             service has no server that limits its requests.
         """
-        if not self.limits.servers() or self.eligible_servers(service):
+        limited_keys = self.limits.servers() | self.limits.cold_servers()
+        eligible = self.eligible_servers(service)
+        if not limited_keys or self._without_waiting_cold(eligible.all):
             return None
-        limited = self._listed_in(service, self.limits.servers())
+        limited = self._listed_in(service, limited_keys)
         return self.limits.remaining(one.key for one in limited)
 
     def record_refusal(self, backend: desired.Backend) -> None:
@@ -292,7 +329,9 @@
         servers = [
             one
             for one in (
-                *self.eligible_servers(checked.service).all,
+                *self._without_waiting_cold(
+                    self.eligible_servers(checked.service).all
+                ),
                 *self._limited_with_room(checked.service),
             )
             if allowed is None or one.key in allowed
--- a/src/lugcross/edge/settings.py
+++ b/src/lugcross/edge/settings.py
@@ -68,6 +68,9 @@
         again until ``drain_ms`` and ``change_ms`` must be met again.
     :param fenced: whether engines reject orders under an outdated lease
         generation, so that the leader for expert maps needs a lease.
+    :param cold_overshoot: how many times the rate that its service allows a
+        cold backend server may get in any second.
+    :param cold_slack: requests that it may get in addition.
     """
 
     grace_s: float
@@ -78,6 +81,14 @@
     repeat_slack: float
     contact_ms: float
     fenced: bool = False
+    cold_overshoot: float = 1.0
+    cold_slack: float = 0.0
+
+    def __post_init__(self) -> None:
+        if not 0.0 < self.cold_overshoot < math.inf:
+            raise ValueError("cold_overshoot must be greater than 0")
+        if not 0.0 <= self.cold_slack < math.inf:
+            raise ValueError("cold_slack must not be negative")
 
     @property
     def grace_period(self) -> datetime.timedelta:
--- a/src/lugcross/edge/state_sync.py
+++ b/src/lugcross/edge/state_sync.py
@@ -15,7 +15,6 @@
 from lugcross import desired
 from lugcross.edge import edge_state as edge_state_lib
 from lugcross.edge import lag as lag_lib
-from lugcross.edge import limit_reports
 from lugcross.edge import messages
 from lugcross.edge import peer_sync as peer_sync_lib
 from lugcross.edge import peers as peers_lib
@@ -33,6 +32,7 @@
 from lugcross import ids
 from lugcross import platform
 from lugcross import positions
+from lugcross import rate_limits
 
 #: Silence after which a peer no longer counts as the leader for expert maps or
 #: as a reader of the store: two heartbeats, so that another takes over soon.
@@ -139,6 +139,9 @@
         edge_state.count_known_peers = self.peers.count
         edge_state.limits.own_address = settings.listen.peers
         edge_state.limits.known_processes = self.peers.staying_addresses
+        edge_state.limits.processes.least_count = 1 + len(
+            {*settings.seeds} - {settings.listen.state}
+        )
         edge_state.crash_tracker.on_change = functools.partial(
             self.peers.schedule_send, urgent=True
         )
@@ -362,9 +365,12 @@
             server_reports=refusal_reports.own_messages(
                 self._edge_state.refusing, self._clock.monotonic()
             ),
-            server_limits=limit_reports.own_messages(
+            server_limits=rate_limits.own_limit_messages(
                 self._edge_state.limits, self._clock.monotonic()
             ),
+            cold_servers=rate_limits.own_cold_messages(
+                self._edge_state.limits
+            ),
         )
 
     def _store_answer_age_ms(self, topic: str) -> int:
@@ -403,8 +409,12 @@
         refusal_reports.merge(
             self._edge_state.refusing, heartbeat, self._clock.monotonic()
         )
-        limit_reports.merge(
-            self._edge_state.limits, heartbeat, self._clock.monotonic()
+        limits = self._edge_state.limits
+        rate_limits.apply_limit_messages(
+            limits, heartbeat.server_limits, self._clock.monotonic()
+        )
+        rate_limits.apply_cold_messages(
+            heartbeat.cold_servers, self._edge_state.record_cold
         )
         for name in heartbeat.leaving_backends:
             self._edge_state.backends.mark_leaving(desired.BackendKey(name))
--- a/src/lugcross/platform/backend_headers.py
+++ b/src/lugcross/platform/backend_headers.py
@@ -58,6 +58,8 @@
 #: Upper limit of a ``Retry-After`` value, in seconds: a server that sends a
 #: larger one by mistake is still tried once an hour.
 _MAX_RETRY_AFTER_S = 3_600.0
+#: Longest time for which a server is taken for cold.
+_MAX_COLD_MS = 3_600_000.0
 
 
 @final
@@ -110,6 +112,8 @@
         none unless the status is 429 or 5xx and the header is set.
     :param rate_limit: limit on the requests of all processes, if any.
     :param leaving: whether the server announces that it is leaving.
+    :param cold_time: how much longer the server is cold; None if the header
+        is not set or invalid.
     """
 
     status: int
@@ -123,6 +127,7 @@
     retry_after: datetime.timedelta | None
     rate_limit: RateLimit
     leaving: bool
+    cold_time: datetime.timedelta | None = None
 
     @property
     def success(self) -> bool:
@@ -212,6 +217,7 @@
         rate_limit=_parse_rate_limit(headers),
         leaving=header_names.header_text(values, header_names.SERVER_LEAVING)
         == _HEADER_TRUE,
+        cold_time=_parse_cold_time(headers),
     )
 
 
@@ -262,19 +268,33 @@
     """Return the lowest limit of all ``Server-Limit`` fields."""
     server_limit = header_names.SERVER_LIMIT.lower()
     values = [value for name, value in headers if name == server_limit]
-    rates = [rate for rate in map(_parse_rate, values) if rate is not None]
+    rates = [one for one in map(_parse_number, values) if one is not None]
     return RateLimit(stated=bool(values), per_s=min(rates, default=None))
 
 
-def _parse_rate(value: bytes) -> float | None:
+def _parse_cold_time(headers: _RawHeaders) -> datetime.timedelta | None:
+    """Return the longest time of all ``Cold-Milliseconds`` fields, if any."""
+    cold_time = header_names.COLD_TIME.lower()
+    times = [
+        time_ms
+        for name, value in headers
+        if name == cold_time and (time_ms := _parse_number(value)) is not None
+    ]
+    if not times:
+        return None
+    return datetime.timedelta(milliseconds=min(max(times), _MAX_COLD_MS))
+
+
+def _parse_number(value: bytes) -> float | None:
+    """Return a finite number that is not negative, or None."""
     if b"_" in value:
         # float() takes underscores between digits.
         return None
     try:
-        rate = float(value)
+        number = float(value)
     except ValueError:
         return None
-    return rate if math.isfinite(rate) and rate >= 0 else None
+    return number if math.isfinite(number) and number >= 0 else None
 
 
 def _parse_seconds(value: bytes) -> float:
--- a/src/lugcross/platform/header_names.py
+++ b/src/lugcross/platform/header_names.py
@@ -35,6 +35,8 @@
 #: Requests a second, as a decimal number, that the backend server takes from
 #: all processes together for as long as it says so.
 SERVER_LIMIT = b"Server-Limit"
+#: Milliseconds for which the backend server is still cold; 0 if it is not.
+COLD_TIME = b"Cold-Milliseconds"
 #: "1" if the backend server is leaving.
 SERVER_LEAVING = b"Server-Leaving"
 #: Era of the store, in all its responses: rises each time that the store comes
--- a/src/lugcross/platform/store_records.py
+++ b/src/lugcross/platform/store_records.py
@@ -53,6 +53,9 @@
     RecursionError,
     ValueError,
 )
+#: Longest time for which a server is taken for cold; a longer one is a
+#: mistake, and must not make the whole record invalid.
+_MAX_COLD_MS = 3_600_000.0
 #: Converts expert sizes, in megabytes, to megabits, the unit of links.
 _BITS_PER_BYTE = 8.0
 
@@ -99,10 +102,19 @@
 
 
 class _Service(msgspec.Struct):
+    """Service.
+
+    :param cold_s: how long its servers are cold, in seconds.
+    :param cold_per_s: requests a second that a cold server can handle; 0 for
+        no limit.
+    """
+
     name: str
     health_path: str = "/health"
     connection_limit: int = 0
     engine: _Engine | None = None
+    cold_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 class _Limits(msgspec.Struct):
@@ -137,7 +149,8 @@
     """Entry of a backend server; one that lacks a required field is invalid.
 
     :param version: version of the server's software.
-    :param cold_ms: how long the server is still slow after its start.
+    :param cold_ms: how much longer the server is cold, in milliseconds, as of
+        the writing of the entry.
     :param sequence: number of heartbeats that the server has sent.
     :param born: start of the server, in milliseconds since 1970.
     """
@@ -189,6 +202,7 @@
             slots=raw.slots,
             state=_BACKEND_STATES[raw.state],
             software_version=raw.version,
+            cold_time=_milliseconds(min(raw.cold_ms, _MAX_COLD_MS)),
         )
     except _DECODE_ERRORS as exc:
         raise errors.ChangeError(
@@ -272,6 +286,16 @@
         health_path=raw.health_path,
         max_connections=raw.connection_limit,
         engine=_to_engine_spec(raw.engine) if raw.engine else None,
+        cold_limit=_to_cold_limit(raw),
+    )
+
+
+def _to_cold_limit(raw: _Service) -> desired.ColdLimit | None:
+    if raw.cold_s <= 0 or raw.cold_per_s <= 0:
+        return None
+    return desired.ColdLimit(
+        duration=_milliseconds(min(raw.cold_s * 1000.0, _MAX_COLD_MS)),
+        requests_per_s=raw.cold_per_s,
     )
 
 
--- a/src/lugcross/edge/server_limits.py
+++ b/src/lugcross/rate_limits/server_limits.py
@@ -19,6 +19,8 @@
 from lugcross import clock as clock_lib
 from lugcross import desired
 from lugcross import platform
+from lugcross.rate_limits import cold_servers as cold_servers_lib
+from lugcross.rate_limits import sharing_processes
 from lugcross import routing
 
 #: Fraction of a stated rate that is used. The rest is for processes that have
@@ -109,6 +111,8 @@
 
     :ivar known_processes: returns the addresses of all known processes.
     :ivar own_address: address of this process among them.
+    :ivar processes: the processes that share the rates of cold servers.
+    :ivar cold: the servers that are cold.
     """
 
     def __init__(self, clock: clock_lib.Clock) -> None:
@@ -118,14 +122,41 @@
         self._rotation_start = 0
         self.own_address = ""
         self.known_processes: Callable[[], Collection[str]] = lambda: ()
+        self.processes = sharing_processes.SharingProcesses(
+            clock, lambda: {self.own_address, *self.known_processes()}
+        )
+        self.cold = cold_servers_lib.ColdServers(clock, self.processes)
+        self.cold.own_address = lambda: self.own_address
 
     def servers(self) -> frozenset[desired.BackendKey]:
-        """Return the servers that limit their requests.
+        """Return the servers that limit their requests, other than cold ones.
 
         Returns the same object as long as nothing has changed.
         """
         return self._servers
 
+    def cold_servers(self) -> frozenset[desired.BackendKey]:
+        """Return the servers that are cold or have just been.
+
+        Returns the same object as long as nothing has changed.
+        """
+        return self.cold.servers()
+
+    def record_cold(
+        self,
+        key: desired.BackendKey,
+        left: datetime.timedelta,
+        source: cold_servers_lib.ColdSource,
+        *,
+        is_new_life: bool = False,
+    ) -> None:
+        """Record for how much longer a server is cold.
+
+        :param left: 0 if it is not cold.
+        :param is_new_life: whether this process can have sent it nothing yet.
+        """
+        self.cold.record(key, left, source, is_new_life=is_new_life)
+
     def record_response(
         self, key: desired.BackendKey, rate_limit: platform.RateLimit
     ) -> None:
@@ -162,6 +193,8 @@
 
     def may_send(self, key: desired.BackendKey) -> bool:
         """Return whether this process may send a server a request now."""
+        if not self.cold.may_send(key):
+            return False
         if key not in self._servers:
             return True
         limit = self._limits[key]
@@ -174,6 +207,7 @@
             return False
         if key in self._servers:
             self._limits[key].saved -= 1.0
+        self.cold.spend(key)
         return True
 
     def try_spend_deferrable(self, key: desired.BackendKey) -> bool:
@@ -197,10 +231,21 @@
 
         :returns: None if none of them limits its requests.
         """
-        waits = [self._remaining(key) for key in self._servers & set(keys)]
+        cold = self.cold.servers()
+        waits = [
+            max(self._remaining(key), self._remaining_cold(key))
+            for key in (self._servers | cold) & set(keys)
+        ]
         return min(waits, default=None)
 
+    def _remaining_cold(self, key: desired.BackendKey) -> datetime.timedelta:
+        if key not in self.cold.servers():
+            return datetime.timedelta()
+        return self.cold.remaining(key)
+
     def _remaining(self, key: desired.BackendKey) -> datetime.timedelta:
+        if key not in self._servers:
+            return datetime.timedelta()
         limit = self._limits[key]
         rate = self._own_rate(limit)
         if not rate:
@@ -210,6 +255,7 @@
 
     def own_reports(self) -> list[LimitReport]:
         """Return the reports to send with the next heartbeat."""
+        self.processes.refresh()
         if not self._limits:
             return []
         since = self._clock.monotonic() - _CHANGE_REPORT_PERIOD
@@ -224,8 +270,13 @@
         chosen = [*changed[-_MAX_CHANGED_REPORTS:], *rotated]
         return [one.report for one in chosen]
 
+    def own_cold_reports(self) -> list[cold_servers_lib.ColdReport]:
+        """Return the cold servers to report with the next heartbeat."""
+        return self.cold.own_reports()
+
     def retain_only(self, known: set[desired.BackendKey]) -> None:
         """Drop servers that are not in ``known``, and limits long ended."""
+        self.cold.retain_only(known)
         oldest = self._clock.monotonic() - _ENDED_MAX_AGE
         self._limits = {
             key: limit
--- a/testing/edge/test_server_limits.py
+++ b/testing/rate_limits/test_server_limits.py
@@ -18,10 +18,9 @@
 
 from lugcross import clock as clock_lib
 from lugcross import desired
-from lugcross.edge import limit_reports
 from lugcross.edge import messages
-from lugcross.edge import server_limits as server_limits_lib
 from lugcross import platform
+from lugcross import rate_limits
 
 KEY = desired.BackendKey("i-0")
 OTHER = desired.BackendKey("i-1")
@@ -186,7 +185,7 @@
     head = platform.parse_backend_response_head(503, headers)
     assert head.rate_limit.stated
     assert head.rate_limit.per_s is None
-    limits = server_limits_lib.ServerLimits(manual_clock)
+    limits = rate_limits.ServerLimits(manual_clock)
     limits.record_response(KEY, head.rate_limit)
     assert not limits.servers()
     limits.record_response(KEY, platform.RateLimit(stated=True, per_s=2.0))
@@ -204,7 +203,7 @@
 
 def _limits(clock, own: int = 0, count: int = 1):
     """Return the limits at one of ``count`` processes that know each other."""
-    limits = server_limits_lib.ServerLimits(clock)
+    limits = rate_limits.ServerLimits(clock)
     limits.own_address = f"p{own}"
     limits.known_processes = lambda: [f"p{num}" for num in range(count)]
     return limits
@@ -297,11 +296,15 @@
         1,
         {},
         [],
-        server_limits=limit_reports.own_messages(sender, clock.monotonic()),
+        server_limits=rate_limits.own_limit_messages(
+            sender, clock.monotonic()
+        ),
     )
     received = messages.decode_datagram(messages.encode(heartbeat))
     assert isinstance(received, messages.Heartbeat)
-    limit_reports.merge(receiver, received, clock.monotonic())
+    rate_limits.apply_limit_messages(
+        receiver, received.server_limits, clock.monotonic()
+    )
 
 
 def test_peers_hear_of_a_limit_and_of_its_end(manual_clock):
@@ -317,7 +320,7 @@
     late = _limits(manual_clock, 2, 2)
     late.merge(
         [
-            server_limits_lib.LimitReport(
+            rate_limits.LimitReport(
                 KEY, 2.0, manual_clock.monotonic() - 2 * SECOND
             )
         ]
--- a/testing/support/crash_rig.py
+++ b/testing/support/crash_rig.py
@@ -41,11 +41,11 @@
 _MAX_CALLER_ATTEMPTS = 3
 _RETRY_DELAY_RANGE_S = (0.2, 1.0)
 #: Name of the edge process that handles the request of the current task.
-_current_node = contextvars.ContextVar("node", default="")
+current_node = contextvars.ContextVar("node", default="")
 _KEYS = ("key-a", "key-b", "key-c")
 
 
-def _desired(attempts: int) -> bytes:
+def _desired(attempts: int, service: dict[str, object]) -> bytes:
     limits = dict.fromkeys(
         ("header_bytes", "body_bytes", "header_ms", "idle_ms"), 100_000
     )
@@ -65,7 +65,7 @@
         {
             "version": 1,
             "routes": [route],
-            "services": [{"name": "app"}],
+            "services": [{"name": "app"} | service],
             "limits": limits,
             "tenants": tenants,
         }
@@ -169,6 +169,7 @@
             self._fleet.record_limited(self._body, server)
         if self._headers[b"expected-instance"].decode() != server.name:
             return self._answer(421, (b"not-executed", b"1"))
+        self._fleet.record_received(self._body, server)
         if server.backoff_s is not None:
             return self._turn_away(server.backoff_s)
         if self._fleet.refusal_rng.random() < server.refused_ratio:
@@ -205,6 +206,7 @@
     def _answer(self, status: int, *headers: tuple[bytes, bytes]):
         attempt = self._headers[b"attempt-identifier"]
         found = [(b"attempt-identifier", attempt), *headers]
+        found += self._fleet.extra_headers(self._server)
         if self._server.leaving:
             found.append((b"server-leaving", b"1"))
         if self._server.limit is not None:
@@ -253,6 +255,7 @@
         servers: int,
         attempts: int = 2,
         seed: int = 1,
+        service: dict[str, object] | None = None,
     ) -> None:
         super().__init__(monkeypatch, *domains)
         self.crashing_bodies: set[bytes] = set()
@@ -272,7 +275,7 @@
         self.store.standin.append(
             platform.OPERATOR_TOPIC,
             platform.DESIRED_STATE_KEY,
-            _desired(attempts),
+            _desired(attempts, service or {}),
         )
         for one in self.servers:
             self._start_server(one)
@@ -282,14 +285,36 @@
         server.up = True
         server.running = 0
         server.crashed = asyncio.Event()
+        self.write_entry(server)
+
+    def write_entry(self, server: Server) -> None:
+        """Write a server's entry to the store, as the server does."""
         value = edge_rig.backend_entry(
             "app",
             f"{server.host}:{_SERVER_PORT}",
-            f"d{server.index % 2}",
+            self.domain_of(server),
             slots=SLOTS_PER_SERVER,
+            **self.entry_fields(server),
         )
         self.store.standin.append(platform.BACKENDS_TOPIC, server.name, value)
 
+    def domain_of(self, server: Server) -> str:
+        """Return the failure domain of a server."""
+        return f"d{server.index % 2}"
+
+    def entry_fields(self, server: Server) -> dict[str, object]:
+        """Return fields of a server's entry that differ from the usual."""
+        del server
+        return {}
+
+    def extra_headers(self, server: Server) -> list[tuple[bytes, bytes]]:
+        """Return headers that a server adds to all its answers."""
+        del server
+        return []
+
+    def record_received(self, body: bytes, server: Server) -> None:
+        """Record that a request for its present life reached a server."""
+
     def crash(self, server: Server) -> None:
         """Crash a server; it restarts after :data:`RESTART_S`."""
         if not server.up:
@@ -336,17 +361,17 @@
     def record_send(self, body: bytes, server: Server) -> None:
         """Record that a server has started to run a request."""
         now = asyncio.get_running_loop().time()
-        self.sends.append(Send(now, body, _current_node.get(), server.name))
+        self.sends.append(Send(now, body, current_node.get(), server.name))
 
     def record_limited(self, body: bytes, server: Server) -> None:
         """Record that a request reached a server that states a limit."""
         now = asyncio.get_running_loop().time()
-        self.limited.append(Send(now, body, _current_node.get(), server.name))
+        self.limited.append(Send(now, body, current_node.get(), server.name))
 
     def record_refusal(self, body: bytes, server: Server) -> None:
         """Record that a server has refused a request and asked to back off."""
         now = asyncio.get_running_loop().time()
-        self.refusals.append(Send(now, body, _current_node.get(), server.name))
+        self.refusals.append(Send(now, body, current_node.get(), server.name))
 
     async def _connect(self, host: str, port: int, *, timeout_s: float):
         server = self._by_host.get(host)
@@ -367,7 +392,7 @@
 
     async def _run_request(self, name: str, body: bytes, key: str) -> Answer:
         clock = virtual_time.LoopClock()
-        _current_node.set(name)
+        current_node.set(name)
         node = self.nodes[name]
         headers = [
             (b"host", b"h"),
--- a/testing/support/fleet_rig.py
+++ b/testing/support/fleet_rig.py
@@ -99,7 +99,7 @@
             store=settings_lib.Store(
                 address=f"{self.store_host}:1", form="log"
             ),
-            bounds=edge_rig.BOUNDS,
+            bounds=fleet.bounds,
         )
         clock = virtual_time.LoopClock()
         rng = random.Random(name)
@@ -156,9 +156,12 @@
     """Edge processes in failure domains, with a store that can stop answering.
 
     :param domains: number of processes in each failure domain.
+    :ivar bounds: limits in the settings of all processes.
     :ivar nodes: the processes by name, ``n<domain>-<number>``.
     """
 
+    bounds = edge_rig.BOUNDS
+
     def __init__(self, monkeypatch, *domains: int) -> None:
         # Which processes read the store depends on the tokens, so make them
         # the same in every run.
--- a/testing/test_constants.py
+++ b/testing/test_constants.py
@@ -20,6 +20,7 @@
     "shares",
     "crash_suspects",
     "membership",
+    "rate_limits",
 )
 UNIT_CHECKED_MODULES = sorted(
     path
