--- a/src/lugcross/edge/edge_state.py
+++ b/src/lugcross/edge/edge_state.py
@@ -210,8 +210,9 @@
         return found.cold_limit if found else None
 
     def _apply_cold_bounds(self) -> None:
-        self.limits.cold.overshoot = self.bounds.cold_overshoot
-        self.limits.cold.slack = self.bounds.cold_slack
+        self.limits.cold.configure(
+            overshoot=self.bounds.cold_overshoot, slack=self.bounds.cold_slack
+        )
 
     def _record_cold_entry(
         self, backend: desired.Backend, is_new_life: bool
--- a/src/lugcross/rate_limits/cold_servers.py
+++ b/src/lugcross/rate_limits/cold_servers.py
@@ -47,6 +47,7 @@
 #: Time whose requests count as room of a server in admission.
 _ROOM_TIME = datetime.timedelta(seconds=0.25)
 _SECOND = datetime.timedelta(seconds=1)
+_FIRST_SAVED_SUFFIX = " saved"
 
 
 class ColdSource(enum.Enum):
@@ -124,8 +125,7 @@
 
     :param processes: the processes that share the rates.
     :ivar limit_of: returns the limit of a server's service, if there is one.
-    :ivar overshoot: how many times its rate a server may get in a second.
-    :ivar slack: requests that it may get besides.
+    :ivar own_address: returns the address of this process.
     """
 
     def __init__(
@@ -141,8 +141,8 @@
         self.limit_of: Callable[
             [desired.BackendKey], desired.ColdLimit | None
         ] = lambda key: None
-        self.overshoot = 1.0
-        self.slack = 0.0
+        self._overshoot = 1.0
+        self._slack = 0.0
         self.own_address: Callable[[], str] = lambda: ""
 
     def servers(self) -> frozenset[desired.BackendKey]:
@@ -206,8 +206,23 @@
         """Return a fraction of a request, a different one at each process.
 
         With the same at all of them, they would all send at once later on.
+        The key differs from the one that ranks the processes, since those
+        that share a rate have high scores there.
         """
-        return routing.rendezvous_fraction(key, self.own_address())
+        return routing.rendezvous_fraction(
+            f"{key}{_FIRST_SAVED_SUFFIX}", self.own_address()
+        )
+
+    def configure(self, *, overshoot: float, slack: float) -> None:
+        """Set the bound of any second.
+
+        :param overshoot: how many times its rate a server may get.
+        :param slack: requests that it may get in addition.
+        """
+        self._overshoot = overshoot
+        self._slack = slack
+        for state in self._states.values():
+            state.part_generation = None
 
     def invalidate(self) -> None:
         """Apply changed limits of services at once."""
@@ -315,7 +330,7 @@
         state.updated_at = now
         self._update_part(state, key)
         state.saved = min(
-            max(state.part.max_saved, min(state.saved, 1.0)),
+            state.part.max_saved,
             state.saved + state.part.per_s * factor * elapsed_s,
         )
 
@@ -352,7 +367,7 @@
         floor(``c`` + ``r``) in any second.
         """
         names = self._processes.names()
-        bound = per_s * self.overshoot + self.slack
+        bound = per_s * self._overshoot + self._slack
         all_sends = max(1, int(bound * _USED_BOUND_RATIO))
         count = max(len(names), self._processes.least_count)
         if not self._processes.is_settled():
