--- a/src/lugcross/edge/edge_state.py
+++ b/src/lugcross/edge/edge_state.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from collections.abc import Collection
 import datetime
+import math
 import random
 from typing import final
 
@@ -81,11 +82,14 @@
         self.slow_servers = self.selection.slow_servers
         self.backoffs = self.selection.backoffs
         self.limits = self.selection.limits
-        self.limits.cold.limit_of = self._cold_limit
+        self._cold_capacity = rate_limits.ColdCapacity(clock, self.limits)
+        self.cold_recorder = rate_limits.ColdRecorder(
+            self.limits,
+            service_of=self.backends.service_of,
+            services=lambda: self.desired.services if self.desired else {},
+        )
         self._apply_cold_bounds()
-        self.backends.on_entry = self._record_cold_entry
-        #: Cold servers that have been logged as such.
-        self._logged_cold: frozenset[desired.BackendKey] = frozenset()
+        self.backends.on_entry = self.cold_recorder.record_entry
         self.refusing = self.selection.refusing
         self.workspace_usage = workspace_usage.WorkspaceUsage(clock)
         self.workspace_usage.weights = settings.shares.weights
@@ -180,10 +184,7 @@
             self.backends.mark_leaving(key)
         if not head.wrong_instance:
             self._record_limit(backend, head)
-            if head.cold_time is not None:
-                self.record_cold(
-                    key, head.cold_time, rate_limits.ColdSource.RESPONSE
-                )
+            self.cold_recorder.record_response(key, head.cold_time)
         if head.retry_after is None:
             return
         self.metrics.count_backoff_asked(backend.service)
@@ -202,64 +203,11 @@
             self._clock.monotonic() + head.retry_after
         )
 
-    def _cold_limit(self, key: desired.BackendKey) -> desired.ColdLimit | None:
-        service = self.backends.service_of(key)
-        if self.desired is None or service is None:
-            return None
-        found = self.desired.services.get(service)
-        return found.cold_limit if found else None
-
     def _apply_cold_bounds(self) -> None:
         self.limits.cold.configure(
             overshoot=self.bounds.cold_overshoot, slack=self.bounds.cold_slack
         )
 
-    def _record_cold_entry(
-        self, backend: desired.Backend, is_new_life: bool
-    ) -> None:
-        self.record_cold(
-            backend.key,
-            backend.cold_time,
-            rate_limits.ColdSource.ENTRY,
-            is_new_life=is_new_life,
-        )
-
-    def record_cold(
-        self,
-        key: desired.BackendKey,
-        left: datetime.timedelta,
-        source: rate_limits.ColdSource,
-        *,
-        is_new_life: bool = False,
-    ) -> None:
-        """Record for how much longer a server is cold, and log a change."""
-        self.limits.record_cold(key, left, source, is_new_life=is_new_life)
-        self._log_cold_changes(source)
-
-    def _log_cold_changes(
-        self, source: rate_limits.ColdSource | None = None
-    ) -> None:
-        cold = self.limits.cold_servers()
-        before = self._logged_cold
-        if cold is before:
-            return
-        self._logged_cold = cold
-        for key in sorted(cold - before):
-            limit = self._cold_limit(key)
-            logging.info(
-                "backend server is cold",
-                extra={
-                    "backend": key,
-                    "per_s": limit.requests_per_s if limit else None,
-                    "left_ms": self.limits.cold.left_ms(key),
-                    "source": source.value if source else None,
-                },
-            )
-        for key in sorted(before - cold):
-            logging.info(
-                "backend server is no longer cold", extra={"backend": key}
-            )
-
     def _record_limit(
         self, backend: desired.Backend, head: platform.BackendResponseHead
     ) -> None:
@@ -287,10 +235,12 @@
             compared for the request; 0 if none was.
         """
         servers = self.selection.eligible_servers(service)
-        server_count, slots = self.selection.capacity(service)
+        closed = self._cold_capacity.closed(
+            service, servers.all, self.loads.requests_at_each
+        )
         return admission.LoadSnapshot(
-            servers=server_count,
-            slots=slots,
+            servers=len(servers) - closed.servers,
+            slots=servers.slots - math.ceil(closed.slots),
             requests=self.loads.total_requests(servers.keys),
             least_busy_requests=least_busy_requests,
             unreported_requests=self.loads.unreported_requests(service),
@@ -428,7 +378,7 @@
         self.pool.close_unusable(known)
         self.loads.retain_only(known)
         self.limits.retain_only(known)
-        self._log_cold_changes()
+        self.cold_recorder.log_changes()
 
 
 def _exempt_requests(
--- a/src/lugcross/edge/eligible_servers.py
+++ b/src/lugcross/edge/eligible_servers.py
@@ -27,23 +27,20 @@
 
     :param same_domain: servers in this process's failure domain.
     :param other_domains: all other servers.
+    :param all: all servers, those of the own failure domain first.
     :param keys: keys of all servers.
     :param slots: total slots of all servers.
     """
 
     same_domain: tuple[desired.Backend, ...]
     other_domains: tuple[desired.Backend, ...]
+    all: tuple[desired.Backend, ...]
     keys: frozenset[desired.BackendKey]
     slots: int
 
     def __len__(self) -> int:
         return len(self.keys)
 
-    @property
-    def all(self) -> tuple[desired.Backend, ...]:
-        """All servers, those of the own failure domain first."""
-        return self.same_domain + self.other_domains
-
     def sample(self, rng: random.Random) -> list[desired.Backend]:
         """Return random servers from which to choose for one request."""
         return [
@@ -56,13 +53,16 @@
     servers: Sequence[desired.Backend], *, own_domain: ids.DomainName
 ) -> EligibleServers:
     """Split servers by whether they are in ``own_domain``."""
+    same_domain = tuple(
+        server for server in servers if server.domain == own_domain
+    )
+    other_domains = tuple(
+        server for server in servers if server.domain != own_domain
+    )
     return EligibleServers(
-        same_domain=tuple(
-            server for server in servers if server.domain == own_domain
-        ),
-        other_domains=tuple(
-            server for server in servers if server.domain != own_domain
-        ),
+        same_domain=same_domain,
+        other_domains=other_domains,
+        all=same_domain + other_domains,
         keys=frozenset(server.key for server in servers),
         slots=sum(server.slots for server in servers),
     )
--- a/src/lugcross/edge/server_selection.py
+++ b/src/lugcross/edge/server_selection.py
@@ -180,27 +180,6 @@
             if one.key not in cold or self.limits.may_send(one.key)
         ]
 
-    def capacity(self, service: ids.ServiceName) -> tuple[float, int]:
-        """Return how many servers' capacity, and slots, are open to requests.
-
-        A cold server counts with the requests that it has and those that its
-        rate allows shortly, at most with its slots.
-        """
-        servers = self.eligible_servers(service)
-        cold = servers.keys & self.limits.cold_servers()
-        if not cold:
-            return len(servers), servers.slots
-        count = float(len(servers))
-        slots = float(servers.slots)
-        some = [one for one in servers.all if one.key in cold]
-        requests = self.loads.requests_at_each(one.key for one in some)
-        for one, present in zip(some, requests, strict=True):
-            open_slots = present + self.limits.cold.room(one.key)
-            closed = max(0.0, one.slots - open_slots)
-            count -= closed / one.slots
-            slots -= closed
-        return count, int(slots)
-
     def choose_spare(
         self, service: ids.ServiceName
     ) -> backend_choice.BackendChoice | None:
--- a/src/lugcross/edge/state_sync.py
+++ b/src/lugcross/edge/state_sync.py
@@ -413,9 +413,9 @@
         rate_limits.apply_limit_messages(
             limits, heartbeat.server_limits, self._clock.monotonic()
         )
-        rate_limits.apply_cold_messages(
-            heartbeat.cold_servers, self._edge_state.record_cold
-        )
+        if heartbeat.cold_servers:
+            rate_limits.apply_cold_messages(limits, heartbeat.cold_servers)
+            self._edge_state.cold_recorder.log_changes("peer")
         for name in heartbeat.leaving_backends:
             self._edge_state.backends.mark_leaving(desired.BackendKey(name))
         self.on_peer_generation(experts.Generation(heartbeat.lease_generation))
--- a/src/lugcross/rate_limits/__init__.py
+++ b/src/lugcross/rate_limits/__init__.py
@@ -1,6 +1,9 @@
 # SPDX-License-Identifier: Apache-2.0
 """Request rates of backend servers that all processes share."""
 
+from lugcross.rate_limits.cold_capacity import ClosedCapacity
+from lugcross.rate_limits.cold_capacity import ColdCapacity
+from lugcross.rate_limits.cold_recorder import ColdRecorder
 from lugcross.rate_limits.cold_servers import ColdReport
 from lugcross.rate_limits.cold_servers import ColdSource
 from lugcross.rate_limits.limit_reports import apply_cold_messages
@@ -15,6 +18,9 @@
 
 __all__ = [
     "MAX_COLD_MESSAGES",
+    "ClosedCapacity",
+    "ColdCapacity",
+    "ColdRecorder",
     "ColdReport",
     "ColdServerMessage",
     "ColdSource",
--- a/src/lugcross/rate_limits/limit_reports.py
+++ b/src/lugcross/rate_limits/limit_reports.py
@@ -1,7 +1,6 @@
 # SPDX-License-Identifier: Apache-2.0
 """Exchange of the limits of backend servers between edge processes."""
 
-from collections.abc import Callable
 from collections.abc import Iterable
 import datetime
 from typing import Annotated
@@ -24,11 +23,6 @@
 #: Number of cold servers that one heartbeat carries at most.
 MAX_COLD_MESSAGES = cold_servers.MAX_REPORTS
 
-#: Records for how much longer a server is cold.
-RecordCold = Callable[
-    [desired.BackendKey, datetime.timedelta, cold_servers.ColdSource], None
-]
-
 
 @final
 class ServerLimitMessage(msgspec.Struct, frozen=True, array_like=True):
@@ -98,15 +92,12 @@
 
 
 def apply_cold_messages(
+    limits: server_limits.ServerLimits,
     received: Iterable[ColdServerMessage],
-    record_cold: RecordCold,
 ) -> None:
-    """Apply the cold servers of a peer's heartbeat.
-
-    :param record_cold: as :meth:`server_limits.ServerLimits.record_cold`.
-    """
+    """Apply the cold servers of a peer's heartbeat."""
     for one in received:
-        record_cold(
+        limits.record_cold(
             desired.BackendKey(one.server),
             one.left_ms * _MS,
             cold_servers.ColdSource.PEER,
--- a/testing/edge/test_cold_servers.py
+++ b/testing/edge/test_cold_servers.py
@@ -123,6 +123,7 @@
     key = desired.BackendKey("i-0")
     for _ in range(6):
         rig.edge_state.loads.record_started(key)
+    manual_clock.advance(SECOND / 20)
     assert rig.edge_state.load_snapshot(SERVICE).servers == 3.0
 
 
