Hold a cold server's next request for the attempt that chose it

Requests that waited for their connections at the same time all chose the cold server that took one, and all but one ended as unreached; after three of these a request is refused. An attempt now holds its place until it is sent.

testing/edge/test_cold_servers.py fails without the hold, and passes with it; with testing/rate_limits/test_cold_servers.py: 121 passed.

--- a/src/lugcross/edge/attempt.py
+++ b/src/lugcross/edge/attempt.py
@@ -159,6 +159,7 @@
         edge_state.workspace_usage.request_started(
             checked.service, checked.workspace_name
         )
+        edge_state.limits.hold(self._backend.key)
         try:
             try:
                 not_repeatable = not self._checked.route.repeatable
@@ -170,6 +171,8 @@
             except http1.NoConnectionError as exc:
                 self._report_failure(str(exc))
                 return retry_policy.AttemptOutcome.UNREACHED
+            finally:
+                edge_state.limits.release(self._backend.key)
             if edge_state.backoffs.is_active(
                 self._backend.key
             ) or not edge_state.limits.try_spend(self._backend.key):
--- a/src/lugcross/rate_limits/cold_servers.py
+++ b/src/lugcross/rate_limits/cold_servers.py
@@ -94,6 +94,8 @@
     :param until: end of the state as reported.
     :param updated_at: when ``saved`` was computed.
     :param saved: requests that this process may send now.
+    :param held: requests that have chosen the server and will be sent as soon
+        as they have a connection.
     :param limit: limit of its service; None if there is none.
     :param told_at: when a response or a peer last said that it is cold.
     :param news_at: when a response of the server said what peers may not
@@ -106,6 +108,7 @@
     until: clock_lib.Instant
     updated_at: clock_lib.Instant
     saved: float
+    held: int = 0
     limit: desired.ColdLimit | None = None
     told_at: clock_lib.Instant | None = None
     news_at: clock_lib.Instant | None = None
@@ -231,12 +234,23 @@
         self._refresh_at = self._clock.monotonic()
 
     def may_send(self, key: desired.BackendKey) -> bool:
-        """Return whether this process may send a server a request now."""
+        """Return whether a request may choose a server now."""
         if key not in self.servers():
             return True
         state = self._states[key]
         self._refill(state, key)
-        return state.saved >= 1.0
+        return state.saved >= 1.0 + state.held
+
+    def hold(self, key: desired.BackendKey) -> None:
+        """Record that a request has chosen a server and is not sent yet."""
+        if key in self.servers():
+            self._states[key].held += 1
+
+    def release(self, key: desired.BackendKey) -> None:
+        """Record that a held request is sent now, or is not sent at all."""
+        state = self._states.get(key)
+        if state is not None and state.held:
+            state.held -= 1
 
     def spend(self, key: desired.BackendKey) -> None:
         """Count a request that is sent."""
--- a/src/lugcross/rate_limits/server_limits.py
+++ b/src/lugcross/rate_limits/server_limits.py
@@ -201,6 +201,18 @@
         self._refill(limit)
         return limit.saved >= 1.0
 
+    def hold(self, key: desired.BackendKey) -> None:
+        """Record that a request has chosen a server and is not sent yet.
+
+        Others that wait for their connections meanwhile would choose the same
+        cold server, and only one of them could be sent.
+        """
+        self.cold.hold(key)
+
+    def release(self, key: desired.BackendKey) -> None:
+        """Record that a held request is sent now, or is not sent at all."""
+        self.cold.release(key)
+
     def try_spend(self, key: desired.BackendKey) -> bool:
         """Return whether a request may be sent, and count it."""
         if not self.may_send(key):
--- a/testing/edge/test_cold_servers.py
+++ b/testing/edge/test_cold_servers.py
@@ -101,6 +101,32 @@
     assert asyncio.run(main()) == 1
 
 
+def test_requests_at_the_same_time_do_not_choose_the_same_cold_server():
+    # All but one would have to be sent elsewhere after their connections
+    # were opened, and would be refused after some of these attempts.
+    cold = edge_rig.answer(200, b"whole", b"Cold-Milliseconds: 3000")
+
+    async def main():
+        clock = clock_lib.ManualClock()
+        rig = _rig(clock)
+        await rig.start([cold] * 9, [edge_rig.answer()] * 9)
+        try:
+            await rig.ask()
+            rig.edge_state.pool.close()
+            clock.advance(1.2 * SECOND)
+            # The other server looks busier than the cold one.
+            for _ in range(30):
+                rig.edge_state.loads.record_started(desired.BackendKey("i-1"))
+            answers = await asyncio.gather(*(rig.ask() for _ in range(6)))
+            assert {one.status for one in answers} == {200}
+            text = rig.edge_state.metrics.text()
+            return text.count(b'event="unreached"')
+        finally:
+            rig.close()
+
+    assert asyncio.run(main()) == 0
+
+
 @pytest.mark.parametrize(
     ("per_s", "servers"),
     [
--- a/testing/rate_limits/test_cold_servers.py
+++ b/testing/rate_limits/test_cold_servers.py
@@ -304,6 +304,29 @@
     assert _left_s(limits) == pytest.approx(left_s, abs=0.01)
 
 
+def test_held_request_is_sent_and_others_choose_another_server(manual_clock):
+    limits = _one(manual_clock)
+    limits.record_cold(KEY, COLD_TIME, ENTRY)
+    while not limits.may_send(KEY):
+        manual_clock.advance(MS)
+    limits.hold(KEY)
+    assert not limits.may_send(KEY)
+    limits.release(KEY)
+    assert limits.try_spend(KEY)
+    assert not limits.may_send(KEY)
+
+
+def test_request_that_is_not_sent_leaves_its_place_to_others(manual_clock):
+    limits = _one(manual_clock)
+    limits.hold(KEY)
+    limits.record_cold(KEY, COLD_TIME, ENTRY)
+    limits.release(KEY)
+    limits.hold(KEY)
+    limits.release(KEY)
+    manual_clock.advance(2 * SECOND)
+    assert limits.try_spend(KEY)
+
+
 def test_stated_limit_and_cold_state_both_hold(manual_clock):
     limits = _one(manual_clock)
     limits.record_cold(KEY, COLD_TIME, ENTRY)
