--- a/src/lugcross/edge/server_selection.py
+++ b/src/lugcross/edge/server_selection.py
@@ -260,8 +260,9 @@
             service has no server that limits its requests.
         """
         limited_keys = self.limits.servers() | self.limits.cold_servers()
-        eligible = self.eligible_servers(service)
-        if not limited_keys or self._without_waiting_cold(eligible.all):
+        if not limited_keys or self._without_waiting_cold(
+            self.eligible_servers(service).all
+        ):
             return None
         limited = self._listed_in(service, limited_keys)
         return self.limits.remaining(one.key for one in limited)
--- a/src/lugcross/rate_limits/cold_servers.py
+++ b/src/lugcross/rate_limits/cold_servers.py
@@ -72,7 +72,7 @@
 
 @final
 @dataclasses.dataclass(frozen=True)
-class _Part:
+class RatePart:
     """This process's part of a server's rate.
 
     :param max_saved: requests that it may save up.
@@ -82,7 +82,7 @@
     max_saved: float
 
 
-_NO_PART = _Part(0.0, 0.0)
+_NO_PART = RatePart(0.0, 0.0)
 
 
 @final
@@ -112,7 +112,7 @@
     limit: desired.ColdLimit | None = None
     told_at: clock_lib.Instant | None = None
     news_at: clock_lib.Instant | None = None
-    part: _Part = _NO_PART
+    part: RatePart = _NO_PART
     part_generation: int | None = None
 
     def end(self) -> clock_lib.Instant:
@@ -376,7 +376,7 @@
             else self._compute_part(key, state.limit.requests_per_s)
         )
 
-    def _compute_part(self, key: desired.BackendKey, per_s: float) -> _Part:
+    def _compute_part(self, key: desired.BackendKey, per_s: float) -> RatePart:
         """Return this process's part of a server's rate.
 
         A part with rate ``r`` that saves up ``c`` requests sends at most
@@ -396,4 +396,4 @@
         rate = min(
             per_s * _USED_RATE_RATIO / sharing, sends * _MAX_PART_RATE_RATIO
         )
-        return _Part(rate, max(1.0, sends - rate))
+        return RatePart(rate, max(1.0, sends - rate))
