--- a/testing/rate_limits/test_cold_servers.py
+++ b/testing/rate_limits/test_cold_servers.py
@@ -254,6 +254,31 @@
     assert not limits.cold_servers()
 
 
+class _JumpingClock:
+    """A clock whose time of day jumps each time that it is read."""
+
+    def __init__(self, clock: clock_lib.ManualClock) -> None:
+        self._clock = clock
+        self._days = 0
+
+    def now(self) -> datetime.datetime:
+        self._days = -self._days + 1
+        return self._clock.now() + datetime.timedelta(days=self._days)
+
+    def monotonic(self) -> clock_lib.Instant:
+        return self._clock.monotonic()
+
+
+def test_jumps_of_the_time_of_day_change_nothing(manual_clock):
+    limits = _one(_JumpingClock(manual_clock))
+    limits.record_cold(KEY, COLD_TIME, ENTRY)
+    manual_clock.advance(COLD_TIME - MS)
+    assert limits.cold_servers()
+    assert limits.cold.left_ms(KEY) == 1
+    manual_clock.advance(SECOND + MS)
+    assert not limits.cold_servers()
+
+
 def test_other_servers_and_lives_are_not_limited(manual_clock):
     limits = _one(manual_clock)
     limits.record_cold(KEY, COLD_TIME, ENTRY)
