Keep servers usable that become cold again

A part of the rate of a server that had been used before began with nothing at all processes, so that nobody could use it for 1.9 s and then all 35 processes sent at once. Each part now begins with a fraction of a request of its own, as for a new life; 10 to 26 requests are sent in each second.

--- a/src/lugcross/edge/backends.py
+++ b/src/lugcross/edge/backends.py
@@ -86,8 +86,7 @@
 
     :param max_drain_time: returns the time after which a leaving server must
         get no new requests.
-    :ivar on_entry: called with each backend server whose entry was read, and
-        whether this life was not known before.
+    :ivar on_entry: called with each backend server whose entry was read.
     :ivar end: position after the last record that was read.
     :ivar updated_at: when records were last applied; None before the first.
     :ivar records: newest record of each key, removals included.
@@ -113,9 +112,7 @@
             desired.BackendKey, clock_lib.Instant
         ] = {}
         self._usable: dict[ids.ServiceName, _UsableServers] = {}
-        self.on_entry: Callable[[desired.Backend, bool], None] = (
-            lambda backend, is_new_life: None
-        )
+        self.on_entry: Callable[[desired.Backend], None] = lambda backend: None
         self.end = positions.START
         self.updated_at: clock_lib.Instant | None = None
         self.records: dict[str, platform.KeyedRecord] = {}
@@ -442,7 +439,7 @@
                     "era": positions.era(position),
                 },
             )
-        self.on_entry(backend, entry is None)
+        self.on_entry(backend)
 
     def _has_ended(self, entry: _Entry | None) -> bool:
         """Return whether a life was removed for good before this record."""
--- a/src/lugcross/rate_limits/cold_recorder.py
+++ b/src/lugcross/rate_limits/cold_recorder.py
@@ -41,18 +41,10 @@
         service = None if name is None else self._services().get(name)
         return None if service is None else service.cold_limit
 
-    def record_entry(
-        self, backend: desired.Backend, is_new_life: bool
-    ) -> None:
-        """Record what a server's entry says.
-
-        :param is_new_life: whether this life was not known before.
-        """
+    def record_entry(self, backend: desired.Backend) -> None:
+        """Record what a server's entry says."""
         self._limits.record_cold(
-            backend.key,
-            backend.cold_time,
-            cold_servers.ColdSource.ENTRY,
-            is_new_life=is_new_life,
+            backend.key, backend.cold_time, cold_servers.ColdSource.ENTRY
         )
         self.log_changes("entry")
 
--- a/src/lugcross/rate_limits/cold_servers.py
+++ b/src/lugcross/rate_limits/cold_servers.py
@@ -162,22 +162,18 @@
         key: desired.BackendKey,
         left: datetime.timedelta,
         source: ColdSource,
-        *,
-        is_new_life: bool,
     ) -> None:
         """Record for how much longer a server is cold.
 
         :param left: 0 if it is not cold.
-        :param is_new_life: whether this process can have sent it nothing yet.
         """
         now = self._clock.monotonic()
         until = now + min(left, MAX_COLD_TIME)
         state = self._states.get(key)
-        if state is None:
+        if state is None or now >= state.end() + _RISE_TIME:
             if not left:
                 return
-            saved = self._first_saved(key) if is_new_life else 0.0
-            state = _ColdServer(now, now, now, saved)
+            state = _ColdServer(now, now, now, self._first_saved(key))
             self._states[key] = state
         else:
             self._refill(state, key)
@@ -211,6 +207,7 @@
         """Return a fraction of a request, a different one at each process.
 
         With the same at all of them, they would all send at once later on.
+        With nothing, nobody could use the server for seconds.
         The key differs from the one that ranks the processes, since those
         that share a rate have high scores there.
         """
--- a/src/lugcross/rate_limits/server_limits.py
+++ b/src/lugcross/rate_limits/server_limits.py
@@ -147,15 +147,12 @@
         key: desired.BackendKey,
         left: datetime.timedelta,
         source: cold_servers_lib.ColdSource,
-        *,
-        is_new_life: bool = False,
     ) -> None:
         """Record for how much longer a server is cold.
 
         :param left: 0 if it is not cold.
-        :param is_new_life: whether this process can have sent it nothing yet.
         """
-        self.cold.record(key, left, source, is_new_life=is_new_life)
+        self.cold.record(key, left, source)
 
     def record_response(
         self, key: desired.BackendKey, rate_limit: platform.RateLimit
--- a/testing/rate_limits/test_cold_servers.py
+++ b/testing/rate_limits/test_cold_servers.py
@@ -74,7 +74,7 @@
         self, left: datetime.timedelta = COLD_TIME, source=ENTRY
     ) -> None:
         for one in self.limits:
-            one.record_cold(KEY, left, source, is_new_life=True)
+            one.record_cold(KEY, left, source)
 
     def send(self, seconds: float) -> int:
         """Send as often as all processes may; return how often."""
@@ -139,6 +139,17 @@
         assert sum(one.may_send(key) for key in keys) >= 18
 
 
+def test_server_that_becomes_cold_again_is_usable_at_once(manual_clock):
+    fleet = _Fleet(manual_clock, 37)
+    fleet.settle()
+    for _ in range(2):
+        fleet.record_cold()
+        for _ in range(3):
+            assert 10 <= fleet.send(1.0) <= 26
+        fleet.clock.advance(10 * SECOND)
+    assert fleet.most <= fleet.allowed()
+
+
 def test_further_reports_add_no_requests(manual_clock):
     fleet = _Fleet(manual_clock, 37)
     fleet.settle()
@@ -197,7 +208,7 @@
         started = fleet.new(name)
         started.known_processes = lambda: ()
         started.processes.least_count = 1 + seeds
-        started.record_cold(KEY, 2 * SECOND, ENTRY, is_new_life=True)
+        started.record_cold(KEY, 2 * SECOND, ENTRY)
         fleet.limits[num] = started
     fleet.send(1.5)
     assert fleet.most <= fleet.allowed()
