--- a/src/lugcross/edge/app.py
+++ b/src/lugcross/edge/app.py
@@ -282,6 +282,7 @@
             edge_unreachable_domains=len(
                 self.edge_state.reachability.own_findings()
             ),
+            edge_cold_servers=len(self.edge_state.limits.cold_servers()),
         )
         self.edge_state.metrics.set_workspace_running(
             self.edge_state.workspace_usage.counts_by_service()
--- a/src/lugcross/edge/edge_state.py
+++ b/src/lugcross/edge/edge_state.py
@@ -6,6 +6,7 @@
 from collections.abc import Collection
 import datetime
 import functools
+import math
 import random
 from typing import final
 
@@ -26,6 +27,7 @@
 from lugcross.edge import workspace_usage
 from lugcross import ids
 from lugcross import platform
+from lugcross import rate_limits
 from lugcross import routing
 from lugcross import urgency
 
@@ -88,6 +90,14 @@
         self.slow_servers = self.selection.slow_servers
         self.backoffs = self.selection.backoffs
         self.limits = self.selection.limits
+        self._cold_capacity = rate_limits.ColdCapacity(clock, self.limits)
+        self.cold_recorder = rate_limits.ColdRecorder(
+            self.limits,
+            service_of=self.backends.service_of,
+            services=lambda: self.desired.services if self.desired else {},
+        )
+        self._apply_cold_bounds()
+        self.backends.on_entry = self.cold_recorder.record_entry
         self.refusing = self.selection.refusing
         self.evacuations = self.selection.evacuations
         self.workspace_usage = workspace_usage.WorkspaceUsage(clock)
@@ -124,6 +134,7 @@
             return False
         self.desired = state
         self.desired_history.add(record)
+        self.limits.cold.invalidate()
         self.workspace_usage.set_known_workspaces(
             state.services, state.workspace_names()
         )
@@ -140,6 +151,7 @@
         """Apply the bounds, shares and exemptions of reloaded settings."""
         bounds = settings.bounds
         self.bounds = bounds
+        self._apply_cold_bounds()
         self.workspace_usage.weights = settings.shares.weights
         self.crash_tracker.exempt_requests = _exempt_requests(
             settings.suspects
@@ -184,6 +196,7 @@
             self.backends.mark_leaving(key)
         if not head.wrong_instance:
             self._record_limit(backend, head)
+            self.cold_recorder.record_response(key, head.cold_time)
         if head.retry_after is None:
             return
         self.metrics.count_backoff_asked(backend.service)
@@ -202,6 +215,11 @@
             self._clock.monotonic() + head.retry_after
         )
 
+    def _apply_cold_bounds(self) -> None:
+        self.limits.cold.configure(
+            overshoot=self.bounds.cold_overshoot, slack=self.bounds.cold_slack
+        )
+
     def _record_limit(
         self, backend: desired.Backend, head: platform.BackendResponseHead
     ) -> None:
@@ -229,9 +247,12 @@
             compared for the request; 0 if none was.
         """
         servers = self.selection.eligible_servers(service)
+        closed = self._cold_capacity.closed(
+            service, servers.all, self.loads.requests_at_each
+        )
         return admission.LoadSnapshot(
-            servers=len(servers),
-            slots=servers.slots,
+            servers=len(servers) - closed.servers,
+            slots=servers.slots - math.ceil(closed.slots),
             requests=self.loads.total_requests(servers.keys),
             least_busy_requests=least_busy_requests,
             unreported_requests=self.loads.unreported_requests(service),
@@ -389,6 +410,7 @@
         self.loads.retain_only(known)
         self.limits.retain_only(known)
         self.reachability.retain_only(self.backends.addresses_by_domain())
+        self.cold_recorder.log_changes()
 
 
 def _exempt_requests(
--- a/src/lugcross/edge/messages.py
+++ b/src/lugcross/edge/messages.py
@@ -11,6 +11,7 @@
 from lugcross.edge import patches
 from lugcross import evacuation
 from lugcross import positions
+from lugcross import rate_limits
 from lugcross import reachability
 
 #: Number of requests in progress; one process never has as many as the limit.
@@ -91,25 +92,6 @@
     accepted_age_ms: Annotated[int, msgspec.Meta(ge=-1, le=MAX_REFUSAL_AGE_MS)]
 
 
-#: Longest reported age of a server's limit.
-MAX_LIMIT_AGE_MS = 3_600_000
-
-
-@final
-class ServerLimit(msgspec.Struct, frozen=True, array_like=True):
-    """What the newest response of a backend server says of its limit.
-
-    :param server: the life of the backend server.
-    :param rate_per_s: requests a second that it takes from all processes;
-        None if it states no limit any more.
-    :param age_ms: milliseconds since the response.
-    """
-
-    server: _Name
-    rate_per_s: Annotated[float, msgspec.Meta(ge=0)] | None
-    age_ms: Annotated[int, msgspec.Meta(ge=0, le=MAX_LIMIT_AGE_MS)]
-
-
 @final
 class Evacuation(msgspec.Struct, frozen=True, array_like=True):
     """Whether the operator requests the evacuation of a failure domain.
@@ -168,6 +150,8 @@
     :param evacuations: failure domains that are evacuated, and those whose
         evacuation was withdrawn lately; None from an older build, which knows
         of none.
+    :param cold_servers: backend servers whose responses have just told the
+        sender that they are cold.
     :param unreachable_domains: failure domains whose backend servers the
         sender could not connect to.
     """
@@ -194,7 +178,7 @@
     suspects: list[Suspect] = []
     leaving_backends: list[_Name] = []
     server_reports: list[ServerReport] = []
-    server_limits: list[ServerLimit] = []
+    server_limits: list[rate_limits.ServerLimitMessage] = []
     evacuations: (
         Annotated[
             list[Evacuation],
@@ -202,6 +186,10 @@
         ]
         | None
     ) = None
+    cold_servers: Annotated[
+        list[rate_limits.ColdServerMessage],
+        msgspec.Meta(max_length=rate_limits.MAX_COLD_MESSAGES),
+    ] = []
     unreachable_domains: Annotated[
         list[_Name],
         msgspec.Meta(max_length=reachability.MAX_REPORTED_DOMAINS),
--- a/src/lugcross/edge/metrics.py
+++ b/src/lugcross/edge/metrics.py
@@ -74,6 +74,12 @@
             ("service",),
             registry=self._registry,
         )
+        self._cold_refused = prometheus_client.Counter(
+            "lugcross_edge_cold_refused",
+            "Requests refused since no cold backend server could take one.",
+            ("service",),
+            registry=self._registry,
+        )
         self._first_byte = prometheus_client.Histogram(
             "lugcross_first_byte_seconds",
             "Time from a request's head to the first of its answer.",
@@ -127,6 +133,7 @@
                     "edge_unreachable_domains",
                     "Failure domains that can't be reached from here.",
                 ),
+                ("edge_cold_servers", "Backend servers that are cold."),
             )
         }
 
@@ -188,6 +195,10 @@
         """Count a request refused because all servers are backing off."""
         self._backoffs_refused.labels(service).inc()
 
+    def count_cold_refused(self, service: str) -> None:
+        """Count a request refused because the servers are cold."""
+        self._cold_refused.labels(service).inc()
+
     def count_suspect_refused(self, service: str) -> None:
         """Count a request refused because it is a crash suspect."""
         self._suspects_refused.labels(service).inc()
--- a/src/lugcross/edge/server_selection.py
+++ b/src/lugcross/edge/server_selection.py
@@ -22,9 +22,9 @@
 from lugcross.edge import probe_allowance as probe_allowance_lib
 from lugcross.edge import refusing_servers as refusing_servers_lib
 from lugcross.edge import server_backoffs as server_backoffs_lib
-from lugcross.edge import server_limits as server_limits_lib
 from lugcross import evacuation
 from lugcross import ids
+from lugcross import rate_limits
 from lugcross import reachability as reachability_lib
 
 #: Fraction of its slots up to which a server that refuses a request is not
@@ -65,7 +65,8 @@
     :param max_drain_time: returns the time after which a leaving server must
         get no new requests.
     :ivar refusing: servers that refuse whatever they are sent.
-    :ivar limits: limits that servers state for all processes together.
+    :ivar limits: limits that servers state for all processes together, and
+        cold servers.
     :ivar evacuations: failure domains whose servers get no requests.
     :ivar reachability: failure domains that this process cannot reach.
     """
@@ -90,7 +91,7 @@
         self.broken_group_servers = flagged_servers_lib.FlaggedServers(clock)
         self.slow_servers = flagged_servers_lib.FlaggedServers(clock)
         self.backoffs = server_backoffs_lib.ServerBackoffs(clock)
-        self.limits = server_limits_lib.ServerLimits(clock)
+        self.limits = rate_limits.ServerLimits(clock)
         self.refusing = refusing_servers_lib.RefusingServers(clock)
         self.evacuations = evacuation.Evacuations(clock)
         self.reachability = reachability_lib.DomainReachability(clock)
@@ -199,16 +200,32 @@
             if probe is not None:
                 return probe
         limited = self._limited_with_room(service)
-        sample = eligible_servers_lib.without_returning(
-            servers.sample(self._rng), self.reachability, self._rng
+        sample = self._without_waiting_cold(
+            eligible_servers_lib.without_returning(
+                servers.sample(self._rng), self.reachability, self._rng
+            )
         )
         found = self._choose_among([*sample, *limited], tried)
         if found is None or found.best.avoided:
-            found = self._choose_among([*servers.all, *limited], tried)
+            everyone = self._without_waiting_cold(servers.all)
+            found = self._choose_among([*everyone, *limited], tried)
         if not tried and (found is None or found.best.avoided):
             found = self._choose_probe(service) or found
         return found or self._choose_among(self._refusing(service), tried)
 
+    def _without_waiting_cold(
+        self, servers: Sequence[desired.Backend]
+    ) -> Sequence[desired.Backend]:
+        """Return the servers without cold ones that take no request now."""
+        cold = self.limits.cold_servers()
+        if not cold:
+            return servers
+        return [
+            one
+            for one in servers
+            if one.key not in cold or self.limits.may_send(one.key)
+        ]
+
     def choose_spare(
         self, service: ids.ServiceName
     ) -> backend_choice.BackendChoice | None:
@@ -317,9 +334,12 @@
         :returns: None if a server without a limit could be used, or if the
             service has no server that limits its requests.
         """
-        if not self.limits.servers() or self.eligible_servers(service):
+        limited_keys = self.limits.servers() | self.limits.cold_servers()
+        if not limited_keys or self._without_waiting_cold(
+            self.eligible_servers(service).all
+        ):
             return None
-        limited = self._listed_in(service, self.limits.servers())
+        limited = self._listed_in(service, limited_keys)
         return self.limits.remaining(one.key for one in limited)
 
     def record_refusal(self, backend: desired.Backend) -> None:
@@ -364,7 +384,9 @@
         servers = [
             one
             for one in (
-                *self.eligible_servers(checked.service).all,
+                *self._without_waiting_cold(
+                    self.eligible_servers(checked.service).all
+                ),
                 *self._limited_with_room(checked.service),
             )
             if allowed is None or one.key in allowed
--- a/src/lugcross/edge/state_sync.py
+++ b/src/lugcross/edge/state_sync.py
@@ -16,7 +16,6 @@
 from lugcross.edge import edge_state as edge_state_lib
 from lugcross.edge import evacuation_reports
 from lugcross.edge import lag as lag_lib
-from lugcross.edge import limit_reports
 from lugcross.edge import messages
 from lugcross.edge import peer_sync as peer_sync_lib
 from lugcross.edge import peers as peers_lib
@@ -34,6 +33,7 @@
 from lugcross import ids
 from lugcross import platform
 from lugcross import positions
+from lugcross import rate_limits
 
 #: Silence after which a peer no longer counts as the leader for expert maps or
 #: as a reader of the store: two heartbeats, so that another takes over soon.
@@ -144,6 +144,9 @@
         edge_state.limits.own_address = settings.listen.peers
         edge_state.limits.known_processes = self.peers.staying_addresses
         edge_state.reachability.count_peers_here = self._count_peers_here
+        edge_state.limits.processes.least_count = 1 + len(
+            {*settings.seeds} - {settings.listen.state}
+        )
         edge_state.crash_tracker.on_change = functools.partial(
             self.peers.schedule_send, urgent=True
         )
@@ -382,12 +385,15 @@
             server_reports=refusal_reports.own_messages(
                 self._edge_state.refusing, self._clock.monotonic()
             ),
-            server_limits=limit_reports.own_messages(
+            server_limits=rate_limits.own_limit_messages(
                 self._edge_state.limits, self._clock.monotonic()
             ),
             evacuations=evacuation_reports.own_messages(
                 self._edge_state.evacuations
             ),
+            cold_servers=rate_limits.own_cold_messages(
+                self._edge_state.limits
+            ),
             unreachable_domains=[
                 str(one)
                 for one in self._edge_state.reachability.own_findings()
@@ -440,14 +446,18 @@
         refusal_reports.merge(
             self._edge_state.refusing, heartbeat, self._clock.monotonic()
         )
-        limit_reports.merge(
-            self._edge_state.limits, heartbeat, self._clock.monotonic()
+        limits = self._edge_state.limits
+        rate_limits.apply_limit_messages(
+            limits, heartbeat.server_limits, self._clock.monotonic()
         )
         if same_domain:
             self._edge_state.reachability.merge_report(
                 heartbeat.node,
                 map(ids.DomainName, heartbeat.unreachable_domains),
             )
+        if heartbeat.cold_servers:
+            rate_limits.apply_cold_messages(limits, heartbeat.cold_servers)
+            self._edge_state.cold_recorder.log_changes("peer")
         for name in heartbeat.leaving_backends:
             self._edge_state.backends.mark_leaving(desired.BackendKey(name))
         self.on_peer_generation(experts.Generation(heartbeat.lease_generation))
--- a/testing/support/crash_rig.py
+++ b/testing/support/crash_rig.py
@@ -45,7 +45,7 @@
 _KEYS = ("key-a", "key-b", "key-c")
 
 
-def _desired(attempts: int) -> bytes:
+def _desired(attempts: int, service: dict[str, object]) -> bytes:
     limits = dict.fromkeys(
         ("header_bytes", "body_bytes", "header_ms", "idle_ms"), 100_000
     )
@@ -65,7 +65,7 @@
         {
             "version": 1,
             "routes": [route],
-            "services": [{"name": "app"}],
+            "services": [{"name": "app"} | service],
             "limits": limits,
             "tenants": tenants,
         }
@@ -171,6 +171,7 @@
             self._fleet.record_limited(self._body, server)
         if self._headers[b"expected-instance"].decode() != server.name:
             return self._answer(421, (b"not-executed", b"1"))
+        self._fleet.record_received(self._body, server)
         if server.backoff_s is not None:
             return self._turn_away(server.backoff_s)
         if self._fleet.refusal_rng.random() < server.refused_ratio:
@@ -207,6 +208,7 @@
     def _answer(self, status: int, *headers: tuple[bytes, bytes]):
         attempt = self._headers[b"attempt-identifier"]
         found = [(b"attempt-identifier", attempt), *headers]
+        found += self._fleet.extra_headers(self._server)
         if self._server.leaving:
             found.append((b"server-leaving", b"1"))
         if self._server.limit is not None:
@@ -257,6 +259,7 @@
         attempts: int = 2,
         seed: int = 1,
         server_domains: int = 2,
+        service: dict[str, object] | None = None,
     ) -> None:
         super().__init__(monkeypatch, *domains)
         self._server_domains = server_domains
@@ -277,7 +280,7 @@
         self.store.standin.append(
             platform.OPERATOR_TOPIC,
             platform.DESIRED_STATE_KEY,
-            _desired(attempts),
+            _desired(attempts, service or {}),
         )
         for one in self.servers:
             self._start_server(one)
@@ -287,14 +290,36 @@
         server.up = True
         server.running = 0
         server.crashed = asyncio.Event()
+        self.write_entry(server)
+
+    def write_entry(self, server: Server) -> None:
+        """Write a server's entry to the store, as the server does."""
         value = edge_rig.backend_entry(
             "app",
             f"{server.host}:{_SERVER_PORT}",
-            f"d{server.index % self._server_domains}",
+            self.domain_of(server),
             slots=SLOTS_PER_SERVER,
+            **self.entry_fields(server),
         )
         self.store.standin.append(platform.BACKENDS_TOPIC, server.name, value)
 
+    def domain_of(self, server: Server) -> str:
+        """Return the failure domain of a server."""
+        return f"d{server.index % self._server_domains}"
+
+    def entry_fields(self, server: Server) -> dict[str, object]:
+        """Return fields of a server's entry that differ from the usual."""
+        del server
+        return {}
+
+    def extra_headers(self, server: Server) -> list[tuple[bytes, bytes]]:
+        """Return headers that a server adds to all its answers."""
+        del server
+        return []
+
+    def record_received(self, body: bytes, server: Server) -> None:
+        """Record that a request for its present life reached a server."""
+
     def crash(self, server: Server) -> None:
         """Crash a server; it restarts after :data:`RESTART_S`."""
         if not server.up:
--- a/testing/test_constants.py
+++ b/testing/test_constants.py
@@ -21,6 +21,7 @@
     "crash_suspects",
     "membership",
     "urgency",
+    "rate_limits",
 )
 UNIT_CHECKED_MODULES = sorted(
     path
