Name the units of the constants of reachability, and check them

Cause: test_every_constant_has_a_unit failed for _CUT_OFF_WAIT_FRACTIONS.

Change: two constants in its place; the package reachability is checked as well.

--- a/src/lugcross/edge/request_errors.py
+++ b/src/lugcross/edge/request_errors.py
@@ -23,7 +23,8 @@
 #: The same range where no server can serve the request for now, so that the
 #: callers do not all return in one moment. They wait as told for up to a third
 #: of the time that they have left.
-_CUT_OFF_WAIT_FRACTIONS = (0.2, 0.33)
+_MIN_CUT_OFF_WAIT_FRACTION = 0.2
+_MAX_CUT_OFF_WAIT_FRACTION = 0.33
 
 
 @final
@@ -121,9 +122,11 @@
 
     :param time_left: time until the caller's deadline.
     """
-    earliest, latest = (time_left * one for one in _CUT_OFF_WAIT_FRACTIONS)
-    spread = (latest - earliest) * rng.random()
-    return _not_run(what, max(MIN_RETRY_AFTER, earliest) + spread)
+    earliest = max(MIN_RETRY_AFTER, time_left * _MIN_CUT_OFF_WAIT_FRACTION)
+    spread = time_left * (
+        _MAX_CUT_OFF_WAIT_FRACTION - _MIN_CUT_OFF_WAIT_FRACTION
+    )
+    return _not_run(what, earliest + spread * rng.random())
 
 
 def crash_suspect(
--- a/src/lugcross/reachability/domain_reachability.py
+++ b/src/lugcross/reachability/domain_reachability.py
@@ -37,7 +37,7 @@
 #: Processes of the own domain whose reports make this one test a domain.
 _REPORTERS_TO_DOUBT = 2
 #: Steps in which the servers of a domain are used again, and time for each.
-_RETURN_STEPS = 10
+_RETURN_STEP_COUNT = 10
 _RETURN_STEP = datetime.timedelta(milliseconds=200)
 #: Shortest time without a domain after which its use increases gradually.
 #: Requests of a shorter time are still in progress elsewhere.
@@ -266,14 +266,14 @@
     def returning_fractions(self) -> list[tuple[ids.DomainName, float]]:
         """Return which part of the requests may go to returning domains."""
         return [
-            (domain, step / _RETURN_STEPS)
+            (domain, step / _RETURN_STEP_COUNT)
             for domain, step in sorted(self.returning())
         ]
 
     def may_use(self, domain: ids.DomainName, server: str) -> bool:
         """Return whether a server of a returning domain is used already."""
         return all(
-            self._order(server) % _RETURN_STEPS < step
+            self._order(server) % _RETURN_STEP_COUNT < step
             for name, step in self._returning
             if name == domain
         )
@@ -326,7 +326,8 @@
             self._update_reports(domain, found, now)
             if (
                 found.returned_at is not None
-                and now - found.returned_at >= _RETURN_STEP * _RETURN_STEPS
+                and now - found.returned_at
+                >= _RETURN_STEP * _RETURN_STEP_COUNT
             ):
                 found.returned_at = None
         self._rebuild(now)
--- a/src/lugcross/reachability/domain_record.py
+++ b/src/lugcross/reachability/domain_record.py
@@ -13,8 +13,8 @@
 #: Failures after which further servers are probed, so that the last failures
 #: cost no caller an attempt. One is enough where a peer has reported the
 #: domain.
-_FAILED_SERVERS_TO_PROBE = 2
-_FAILED_SERVERS_TO_PROBE_REPORTED = 1
+_MIN_FAILED_SERVERS_TO_PROBE = 2
+_MIN_FAILED_SERVERS_TO_PROBE_REPORTED = 1
 #: Time between two probes of a domain that may be unreachable.
 _SUSPECTED_PROBE_INTERVAL = datetime.timedelta(milliseconds=20)
 #: Probes of a domain on suspicion, within the age of its failures.
@@ -101,9 +101,9 @@
                 if now - at < FAILURE_MAX_AGE
             ]
             needed = (
-                _FAILED_SERVERS_TO_PROBE_REPORTED
+                _MIN_FAILED_SERVERS_TO_PROBE_REPORTED
                 if self.reports
-                else _FAILED_SERVERS_TO_PROBE
+                else _MIN_FAILED_SERVERS_TO_PROBE
             )
             if (
                 len(self.failures) < needed
--- a/testing/test_constants.py
+++ b/testing/test_constants.py
@@ -20,6 +20,7 @@
     "shares",
     "crash_suspects",
     "membership",
+    "reachability",
 )
 UNIT_CHECKED_MODULES = sorted(
     path
