Probe a suspected domain at once and each other server once

Change: the prober is woken on suspicion and makes up to four probes together, each to a server that has neither failed nor been probed. A first form of this probed the few servers of a small domain without end; a test guards against it.

--- a/src/lugcross/edge/domain_prober.py
+++ b/src/lugcross/edge/domain_prober.py
@@ -29,12 +29,14 @@
         self._reachability = reachability
         self._clock = clock
         self._probes: set[asyncio.Task[None]] = set()
+        self._suspicion = asyncio.Event()
+        reachability.on_suspicion = self._suspicion.set
 
     async def run(self) -> None:
         """Make the probes that are due until cancelled."""
         try:
             while True:
-                await asyncio.sleep(_CHECK_INTERVAL_S)
+                await self._wait()
                 while (probe := self._reachability.due_probe()) is not None:
                     task = asyncio.create_task(self._connect(probe))
                     self._probes.add(task)
@@ -43,6 +45,15 @@
             for task in self._probes:
                 task.cancel()
 
+    async def _wait(self) -> None:
+        """Wait until a probe may be due."""
+        try:
+            async with asyncio.timeout(_CHECK_INTERVAL_S):
+                await self._suspicion.wait()
+        except TimeoutError:
+            pass
+        self._suspicion.clear()
+
     async def _connect(self, probe: reachability_lib.Probe) -> None:
         begun_at = self._clock.monotonic()
         host, port = address.split_host_port(probe.server)
--- a/src/lugcross/reachability/domain_reachability.py
+++ b/src/lugcross/reachability/domain_reachability.py
@@ -75,6 +75,7 @@
         this process knows.
     :ivar on_change: called when :meth:`unreachable` or
         :meth:`confirmed_unreachable` may have changed.
+    :ivar on_suspicion: called when probes are due at once.
     """
 
     def __init__(self, clock: clock_lib.Clock) -> None:
@@ -93,6 +94,7 @@
         ] = dict
         self.count_peers_here: Callable[[], int] = lambda: 0
         self.on_change: Callable[[], None] = lambda: None
+        self.on_suspicion: Callable[[], None] = lambda: None
 
     def _record(self, domain: ids.DomainName) -> domain_record.DomainRecord:
         found = self._domains.get(domain)
@@ -152,9 +154,12 @@
         if probe:
             found.failed_probes.add(server)
         found.drop_old_failures(now)
-        if found.unreachable_since is not None or not self._is_cut_off(
-            found, self.servers_by_domain().get(domain, ())
-        ):
+        if found.unreachable_since is not None:
+            return
+        servers = self.servers_by_domain().get(domain, ())
+        if not self._is_cut_off(found, servers):
+            if found.is_suspected(now):
+                self.on_suspicion()
             return
         found.unreachable_since = now
         found.returned_at = None
@@ -301,6 +306,11 @@
                 for one, at in found.probed_at.items()
                 if one in servers
             }
+            if not found.is_left_out():
+                # Others only; so each is probed once on suspicion.
+                servers = (
+                    set(servers) - found.failures.keys()
+                ) - found.probed_at.keys()
             tries = [
                 (found.last_try(one), self._order(one), one) for one in servers
             ]
--- a/src/lugcross/reachability/domain_record.py
+++ b/src/lugcross/reachability/domain_record.py
@@ -15,9 +15,10 @@
 #: domain.
 _MIN_FAILED_SERVERS_TO_PROBE = 2
 _MIN_FAILED_SERVERS_TO_PROBE_REPORTED = 1
-#: Time between two probes of a domain that may be unreachable.
-_SUSPECTED_PROBE_INTERVAL = datetime.timedelta(milliseconds=20)
-#: Probes of a domain on suspicion, within the age of its failures.
+#: Time between two probes of a domain that peers report.
+_UNTESTED_PROBE_INTERVAL = datetime.timedelta(milliseconds=20)
+#: Probes of a domain on suspicion, within the age of its failures. They are
+#: made at once, as requests go on to fail until the last of them has ended.
 _MAX_SUSPECTED_PROBES = 4
 #: Time between two probes of a domain that is unreachable.
 _UNREACHABLE_PROBE_INTERVAL = datetime.timedelta(milliseconds=300)
@@ -86,29 +87,32 @@
             self.probed_at.get(server, never), self.failures.get(server, never)
         )
 
+    def is_suspected(self, now: clock_lib.Instant) -> bool:
+        """Return whether further servers are to be probed on suspicion."""
+        if not self.failures or self.is_left_out():
+            return False
+        self.drop_old_failures(now)
+        recent = [
+            at for at in self.probed_at.values() if now - at < FAILURE_MAX_AGE
+        ]
+        needed = (
+            _MIN_FAILED_SERVERS_TO_PROBE_REPORTED
+            if self.reports
+            else _MIN_FAILED_SERVERS_TO_PROBE
+        )
+        return (
+            len(self.failures) >= needed
+            and len(recent) < _MAX_SUSPECTED_PROBES
+        )
+
     def probe_is_due(self, now: clock_lib.Instant) -> bool:
         """Return whether the domain is to be probed now."""
-        interval = _SUSPECTED_PROBE_INTERVAL
-        if self.unreachable_since is not None:
-            interval = _UNREACHABLE_PROBE_INTERVAL
-        elif not self.is_untested():
-            if not self.failures:
-                return False
-            self.drop_old_failures(now)
-            recent = [
-                at
-                for at in self.probed_at.values()
-                if now - at < FAILURE_MAX_AGE
-            ]
-            needed = (
-                _MIN_FAILED_SERVERS_TO_PROBE_REPORTED
-                if self.reports
-                else _MIN_FAILED_SERVERS_TO_PROBE
-            )
-            if (
-                len(self.failures) < needed
-                or len(recent) >= _MAX_SUSPECTED_PROBES
-            ):
-                return False
+        if not self.is_left_out():
+            return self.is_suspected(now)
+        interval = (
+            _UNTESTED_PROBE_INTERVAL
+            if self.unreachable_since is None
+            else _UNREACHABLE_PROBE_INTERVAL
+        )
         last = max(self.probed_at.values(), default=None)
         return last is None or now - last >= interval
--- a/testing/reachability/test_domain_reachability.py
+++ b/testing/reachability/test_domain_reachability.py
@@ -125,6 +125,27 @@
     assert domains.due_probe() is None
 
 
+def test_suspicion_is_announced_until_it_is_probed(domains):
+    """The prober need not wait for its next check."""
+    calls = []
+    domains.on_suspicion = lambda: calls.append(len(_due_probes(domains)))
+    _fail(domains, count=1)
+    assert calls == []
+    for server in SERVERS[CUT][1:4]:
+        domains.record_not_connected(CUT, server)
+    assert len(calls) == 1
+    assert calls[0] >= 3
+
+
+def test_suspicion_of_a_small_domain_ends_the_probes(domains):
+    """The prober makes probes until none is due."""
+    domains.servers_by_domain = lambda: {**SERVERS, CUT: SERVERS[CUT][:3]}
+    for server in SERVERS[CUT][:2]:
+        domains.record_not_connected(CUT, server)
+    assert domains.due_probe() is not None
+    assert domains.due_probe() is None
+
+
 def test_suspicion_costs_few_probes(domains, manual_clock):
     _fail(domains, count=2)
     probes = []
