--- a/src/lugcross/reachability/domain_reachability.py
+++ b/src/lugcross/reachability/domain_reachability.py
@@ -37,7 +37,7 @@
 #: Processes of the own domain whose reports make this one test a domain.
 _REPORTERS_TO_DOUBT = 2
 #: Steps in which the servers of a domain are used again, and time for each.
-_RETURN_STEPS = 10
+_RETURN_STEP_COUNT = 10
 _RETURN_STEP = datetime.timedelta(milliseconds=200)
 #: Shortest time without a domain after which its use increases gradually.
 #: Requests of a shorter time are still in progress elsewhere.
@@ -75,6 +75,7 @@
         this process knows.
     :ivar on_change: called when :meth:`unreachable` or
         :meth:`confirmed_unreachable` may have changed.
+    :ivar on_suspicion: called when probes are due at once.
     """
 
     def __init__(self, clock: clock_lib.Clock) -> None:
@@ -93,6 +94,7 @@
         ] = dict
         self.count_peers_here: Callable[[], int] = lambda: 0
         self.on_change: Callable[[], None] = lambda: None
+        self.on_suspicion: Callable[[], None] = lambda: None
 
     def _record(self, domain: ids.DomainName) -> domain_record.DomainRecord:
         found = self._domains.get(domain)
@@ -152,9 +154,12 @@
         if probe:
             found.failed_probes.add(server)
         found.drop_old_failures(now)
-        if found.unreachable_since is not None or not self._is_cut_off(
-            found, self.servers_by_domain().get(domain, ())
-        ):
+        if found.unreachable_since is not None:
+            return
+        servers = self.servers_by_domain().get(domain, ())
+        if not self._is_cut_off(found, servers):
+            if found.is_suspected(now):
+                self.on_suspicion()
             return
         found.unreachable_since = now
         found.returned_at = None
@@ -266,14 +271,14 @@
     def returning_fractions(self) -> list[tuple[ids.DomainName, float]]:
         """Return which part of the requests may go to returning domains."""
         return [
-            (domain, step / _RETURN_STEPS)
+            (domain, step / _RETURN_STEP_COUNT)
             for domain, step in sorted(self.returning())
         ]
 
     def may_use(self, domain: ids.DomainName, server: str) -> bool:
         """Return whether a server of a returning domain is used already."""
         return all(
-            self._order(server) % _RETURN_STEPS < step
+            self._order(server) % _RETURN_STEP_COUNT < step
             for name, step in self._returning
             if name == domain
         )
@@ -301,6 +306,11 @@
                 for one, at in found.probed_at.items()
                 if one in servers
             }
+            if not found.is_left_out():
+                # Others only; so each is probed once on suspicion.
+                servers = (
+                    set(servers) - found.failures.keys()
+                ) - found.probed_at.keys()
             tries = [
                 (found.last_try(one), self._order(one), one) for one in servers
             ]
@@ -326,7 +336,8 @@
             self._update_reports(domain, found, now)
             if (
                 found.returned_at is not None
-                and now - found.returned_at >= _RETURN_STEP * _RETURN_STEPS
+                and now - found.returned_at
+                >= _RETURN_STEP * _RETURN_STEP_COUNT
             ):
                 found.returned_at = None
         self._rebuild(now)
--- a/testing/test_constants.py
+++ b/testing/test_constants.py
@@ -22,6 +22,7 @@
     "membership",
     "urgency",
     "rate_limits",
+    "reachability",
 )
 UNIT_CHECKED_MODULES = sorted(
     path
