Bound the memory held for callers and servers that read slowly

Nothing bounded bodies, or responses that are read in whole before they are delivered, and a server was no longer read from when its caller left 256 KB of a stream unread, so that the server cut the response off. Hosts have 152 to 552 MB.

The package held_bytes counts what is held, by connection and in sum, and takes three measures at the bound, in this order: bodies of callers that are still sending are no longer read, new requests with a body are refused as not run, and servers are read from only as fast as callers read. Below the bound servers are read on whatever the caller does. The setting memory_mb of the host turns it on; without it, writes wait at 256 KB as before. A request ends when its caller has taken the response or at its deadline; the server's connection is released before.

Responses and large request bodies are no longer joined with their heads, which copied them.

--- a/src/lugcross/edge/app.py
+++ b/src/lugcross/edge/app.py
@@ -186,6 +186,7 @@
                 self._serve_caller,
                 *address.split_host_port(listen.callers),
                 backlog=_MAX_PENDING_CONNECTIONS,
+                limit=http1.CALLER_BUFFER_BYTES,
             ),
             await asyncio.start_server(
                 self._serve_readiness, *address.split_host_port(listen.ready)
@@ -246,6 +247,7 @@
             limits=self._limits,
             draining=lambda: self._stopping_since is not None,
             clock=self._clock,
+            held=self.edge_state.held_bytes,
         )
         self._conns.add(conn)
         try:
@@ -272,6 +274,8 @@
             store_lost=float(self.state_sync.store_health.failing),
             peers=len(self.state_sync.peers.live()),
             connections=len(self._conns),
+            edge_held_bytes=self.edge_state.held_bytes.total,
+            edge_held_bytes_limit=self.edge_state.held_bytes.limit or 0,
             suspects=len(self.edge_state.crash_tracker.registry),
         )
         self.edge_state.metrics.set_workspace_running(
--- a/src/lugcross/edge/attempt.py
+++ b/src/lugcross/edge/attempt.py
@@ -11,6 +11,7 @@
 
 from lugcross import clock as clock_lib
 from lugcross import desired
+from lugcross.edge import caller_response as caller_response_lib
 from lugcross.edge import checked_request
 from lugcross.edge import edge_state as edge_state_lib
 from lugcross.edge import event_stream
@@ -27,6 +28,8 @@
 #: Time by which a backend server's deadline precedes the caller's, so that
 #: the server's response at its deadline still arrives in time.
 _TRANSIT_MARGIN = datetime.timedelta(milliseconds=20)
+#: Larger responses are not joined, which copies them.
+_MAX_JOINED_BYTES = 1_048_576
 _EVENT_STREAM_TYPE = b"text/event-stream"
 
 
@@ -34,79 +37,6 @@
     """A response that must not be forwarded to the caller."""
 
 
-@final
-class CallerResponse:
-    """The response to the caller; shared by all attempts of a request.
-
-    :ivar started: whether part of the response has been written.
-    :ivar first_byte_at: when the first part was written; None before.
-    :ivar status: status of the response; 0 before it is started.
-    :ivar last_event_id: id of the last event that was written; before that,
-        the one that the caller resumes after, if any.
-    """
-
-    def __init__(
-        self,
-        writer: http1.ResponseWriter,
-        checked: checked_request.CheckedRequest,
-        clock: clock_lib.Clock,
-    ) -> None:
-        self._writer = writer
-        self._clock = clock
-        self.first_byte_at: clock_lib.Instant | None = None
-        self.status = 0
-        self._held_failure: tuple[http1.ResponseHead, bytes] | None = None
-        self.started = False
-        self.last_event_id = checked.caller_head.last_event_id
-
-    async def write_complete(
-        self, head: http1.ResponseHead, body: bytes
-    ) -> None:
-        """Write a complete response."""
-        self._mark_started(head)
-        headers = platform.headers_to_caller(head.raw_headers)
-        await self._writer.write_head(
-            head.status, headers, body, complete=True
-        )
-
-    def hold_failure(self, head: http1.ResponseHead, body: bytes) -> None:
-        """Keep an error response, written if no other attempt succeeds."""
-        self._held_failure = (head, body)
-
-    async def write_held_failure(self) -> None:
-        """Write the error response that was kept last."""
-        assert self._held_failure is not None
-        await self.write_complete(*self._held_failure)
-
-    async def write_events(
-        self, head: http1.ResponseHead, events: list[bytes]
-    ) -> None:
-        """Write events, preceded by the head if none was written yet."""
-        data = b"".join(events)
-        for event in events:
-            self.last_event_id = (
-                event_stream.event_id(event) or self.last_event_id
-            )
-        if self.started:
-            await self._writer.write_data(data)
-            return
-        self._mark_started(head)
-        headers = platform.headers_to_caller(head.raw_headers)
-        await self._writer.write_head(head.status, headers, data)
-
-    def _mark_started(self, head: http1.ResponseHead) -> None:
-        self.started = True
-        self.status = head.status
-        self.first_byte_at = self._clock.monotonic()
-
-    async def finish(self, head: http1.ResponseHead) -> None:
-        """End a stream regularly."""
-        if not self.started:
-            await self.write_complete(head, b"")
-            return
-        await self._writer.finish()
-
-
 @final
 class Attempt:
     """Sends a request to one backend server and forwards its response.
@@ -126,7 +56,7 @@
         clock: clock_lib.Clock,
         checked: checked_request.CheckedRequest,
         backend: desired.Backend,
-        caller_response: CallerResponse,
+        caller_response: caller_response_lib.CallerResponse,
         *,
         may_resend: Callable[[], bool],
         new_connection: bool,
@@ -193,6 +123,7 @@
         self, conn: http1.ClientConn
     ) -> retry_policy.AttemptOutcome | None:
         reusable = False
+        conn.memory = self._caller_response.memory
         try:
             self._send(conn)
             outcome = await self._receive(conn)
@@ -207,6 +138,8 @@
             )
             return retry_policy.AttemptOutcome.BROKEN
         finally:
+            conn.memory = None
+            self._caller_response.note_held(0)
             if reusable:
                 self._edge_state.pool.release(
                     self._backend, conn, self._keep_alive
@@ -341,9 +274,9 @@
         http_head: http1.ResponseHead,
         parsed_head: platform.BackendResponseHead,
     ) -> retry_policy.AttemptOutcome | None:
-        body = await conn.read_body()
         failed = parsed_head.status >= http.HTTPStatus.INTERNAL_SERVER_ERROR
         if failed or parsed_head.status in platform.NOT_EXECUTED_STATUSES:
+            body = await conn.read_body()
             self._report_failure(f"status {parsed_head.status}")
             if parsed_head.status in platform.NOT_EXECUTED_STATUSES:
                 # The status means "not executed", but the header that
@@ -351,12 +284,31 @@
                 return retry_policy.AttemptOutcome.BROKEN
             self._caller_response.hold_failure(http_head, body)
             return retry_policy.AttemptOutcome.FAILED
-        self._report_success()
         if self._caller_response.started:
             raise _InvalidResponseError(
                 "the answer to a resumed stream is no event stream"
             )
-        await self._caller_response.write_complete(http_head, body)
+        parts, complete = await conn.read_body_to_hold()
+        size = sum(map(len, parts))
+        if complete and (
+            size <= _MAX_JOINED_BYTES or self._caller_response.memory is None
+        ):
+            self._report_success()
+            body = b"".join(parts)
+            # Not held while the caller reads.
+            parts.clear()
+            await self._caller_response.write_complete(http_head, body)
+            return None
+        # There is no memory to hold all of it, or to copy it.
+        self._caller_response.note_held(0)
+        for part in parts:
+            await self._caller_response.write_part(http_head, part)
+        parts.clear()
+        if not complete:
+            while (data := await conn.read_data()) is not None:
+                await self._caller_response.write_part(http_head, data)
+        self._report_success()
+        await self._caller_response.finish(http_head)
         return None
 
     async def _forward_events(
--- a/src/lugcross/edge/connection_pool.py
+++ b/src/lugcross/edge/connection_pool.py
@@ -41,10 +41,16 @@
 
 @final
 class ConnectionPool:
-    """Idle connections by backend server; the newest is reused first."""
+    """Idle connections by backend server; the newest is reused first.
 
-    def __init__(self, clock: clock_lib.Clock) -> None:
+    :param bounded: whether the sum of held bytes is bounded.
+    """
+
+    def __init__(
+        self, clock: clock_lib.Clock, *, bounded: bool = False
+    ) -> None:
         self._clock = clock
+        self._bounded = bounded
         self._idle: dict[desired.BackendKey, list[_IdleConnection]] = {}
 
     async def acquire(
@@ -76,6 +82,13 @@
             if usable and now < one.expires_at:
                 return one.conn
             one.conn.close()
+        if self._bounded:
+            return await http1.connect(
+                backend.host,
+                backend.port,
+                timeout_s=_CONNECT_TIMEOUT_S,
+                buffer_bytes=http1.BOUNDED_BUFFER_BYTES,
+            )
         return await http1.connect(
             backend.host, backend.port, timeout_s=_CONNECT_TIMEOUT_S
         )
--- a/src/lugcross/edge/edge_state.py
+++ b/src/lugcross/edge/edge_state.py
@@ -22,6 +22,7 @@
 from lugcross.edge import server_selection as server_selection_lib
 from lugcross.edge import settings as settings_lib
 from lugcross.edge import workspace_usage
+from lugcross import held_bytes
 from lugcross import ids
 from lugcross import platform
 from lugcross import routing
@@ -83,7 +84,12 @@
         self.refusing = self.selection.refusing
         self.workspace_usage = workspace_usage.WorkspaceUsage(clock)
         self.workspace_usage.weights = settings.shares.weights
-        self.pool = connection_pool.ConnectionPool(clock)
+        self.held_bytes = held_bytes.HeldBytes(
+            held_bytes.limit_bytes(settings.memory_mb)
+        )
+        self.pool = connection_pool.ConnectionPool(
+            clock, bounded=self.held_bytes.limit is not None
+        )
         self.metrics = metrics_lib.EdgeMetrics()
         self.crash_tracker = crash_tracker_lib.CrashTracker(
             clock, software_versions=self.software_versions
--- a/src/lugcross/edge/metrics.py
+++ b/src/lugcross/edge/metrics.py
@@ -103,6 +103,11 @@
                 ("store_lost", "1 while the store does not answer."),
                 ("peers", "Peers that were heard lately."),
                 ("connections", "Callers' connections that are open."),
+                (
+                    "edge_held_bytes",
+                    "Bytes held for callers and servers that read slowly.",
+                ),
+                ("edge_held_bytes_limit", "Bound of them; 0 for none."),
                 ("suspects", "Requests under which servers have ended."),
             )
         }
--- a/src/lugcross/edge/request_errors.py
+++ b/src/lugcross/edge/request_errors.py
@@ -100,6 +100,14 @@
     )
 
 
+def no_memory(rng: random.Random) -> RequestError:
+    """Return the refusal of a request whose body this process cannot hold."""
+    return _not_run(
+        "this process has no memory for the request's body",
+        MIN_RETRY_AFTER * (1 + rng.random()),
+    )
+
+
 def unavailable(what: str, time_left: datetime.timedelta) -> RequestError:
     """Return the refusal of a request that all servers refused.
 
--- a/src/lugcross/edge/request_forwarder.py
+++ b/src/lugcross/edge/request_forwarder.py
@@ -16,6 +16,7 @@
 from lugcross.edge import admission
 from lugcross.edge import attempt as attempt_lib
 from lugcross.edge import backend_choice
+from lugcross.edge import caller_response
 from lugcross.edge import checked_request
 from lugcross.edge import edge_state as edge_state_lib
 from lugcross.edge import request_errors
@@ -46,7 +47,7 @@
         self._clock = clock
         self._checked = checked
         self._on_change = on_change
-        self._caller_response = attempt_lib.CallerResponse(
+        self._caller_response = caller_response.CallerResponse(
             response, checked, clock
         )
         self._tried_backends: set[desired.BackendKey] = set()
@@ -205,6 +206,7 @@
             self._tried_backends.add(backend.key)
             outcome = await self._send(backend)
             if outcome is None:
+                await self._caller_response.flush()
                 self._log_response(backend)
                 return
             self._edge_state.metrics.count_attempt(
@@ -250,6 +252,9 @@
         self._state = dataclasses.replace(
             self._state, response_started=started
         )
+        if self._caller_response.in_parts:
+            # No other server can go on with it.
+            self._state = dataclasses.replace(self._state, max_attempts=0)
         return outcome
 
     async def _check_for_crash(
@@ -327,6 +332,7 @@
     ) -> None:
         if action is retry_policy.Action.RETURN_FAILURE:
             await self._caller_response.write_held_failure()
+            await self._caller_response.flush()
         elif action is retry_policy.Action.ABORT_RESPONSE:
             raise request_errors.response_interrupted(
                 "the backend server broke off its answer"
--- a/src/lugcross/edge/request_handler.py
+++ b/src/lugcross/edge/request_handler.py
@@ -79,6 +79,8 @@
     ) -> checked_request.CheckedRequest:
         if self._is_stopping():
             raise request_errors.not_ready("this process is being stopped")
+        if req.body_refused:
+            raise request_errors.no_memory(self._rng)
         state = self._edge_state.desired
         if state is None:
             raise request_errors.not_ready("no desired state is known yet")
--- a/src/lugcross/edge/settings.py
+++ b/src/lugcross/edge/settings.py
@@ -3,6 +3,7 @@
 
 import datetime
 import math
+from typing import Annotated
 from typing import final
 
 import msgspec
@@ -173,6 +174,9 @@
     :param node: name of the host that the process runs on.
     :param domain: failure domain of the process.
     :param seeds: ``state`` addresses of some peers; not all need to exist.
+    :param memory_mb: memory of the host in megabytes, of which a part bounds
+        what the process holds for callers and servers that read slowly; none
+        to bound nothing.
     :param level: lowest level of log messages that are written.
     """
 
@@ -185,6 +189,7 @@
     maps: Maps = Maps()
     shares: Shares = Shares()
     suspects: Suspects = Suspects()
+    memory_mb: Annotated[float, msgspec.Meta(gt=0)] | None = None
     level: str = "info"
 
 
--- a/src/lugcross/http1/__init__.py
+++ b/src/lugcross/http1/__init__.py
@@ -1,18 +1,23 @@
 # SPDX-License-Identifier: Apache-2.0
 """HTTP/1.1 client and server connections over asyncio, based on h11."""
 
+from lugcross.http1.caller_memory import CALLER_BUFFER_BYTES
+from lugcross.http1.caller_request import CallerDisconnectedError
+from lugcross.http1.caller_request import Request
+from lugcross.http1.client import BOUNDED_BUFFER_BYTES
 from lugcross.http1.client import ClientConn
 from lugcross.http1.client import connect
 from lugcross.http1.client import ConnectionBrokenError
 from lugcross.http1.client import NoConnectionError
 from lugcross.http1.client import ResponseHead
-from lugcross.http1.server import CallerDisconnectedError
+from lugcross.http1.client import ResponseMemory
+from lugcross.http1.response_writer import ResponseWriter
 from lugcross.http1.server import Handler
-from lugcross.http1.server import Request
-from lugcross.http1.server import ResponseWriter
 from lugcross.http1.server import ServerConn
 
 __all__ = [
+    "BOUNDED_BUFFER_BYTES",
+    "CALLER_BUFFER_BYTES",
     "CallerDisconnectedError",
     "ClientConn",
     "ConnectionBrokenError",
@@ -20,6 +25,7 @@
     "NoConnectionError",
     "Request",
     "ResponseHead",
+    "ResponseMemory",
     "ResponseWriter",
     "ServerConn",
     "connect",
--- a/src/lugcross/http1/client.py
+++ b/src/lugcross/http1/client.py
@@ -9,18 +9,28 @@
 import struct
 import termios
 from typing import final
+from typing import Protocol
 
 from absl import logging
 import h11
 
 from lugcross import errors
+from lugcross.http1 import caller_memory
+from lugcross.http1 import outbox
 
 #: Result of ``TIOCOUTQ``: bytes in the socket's send queue that the peer's
 #: host has not acknowledged.
 _SEND_QUEUE_SIZE = struct.Struct("i")
 _READ_BYTES = 65_536
-#: Limit of asyncio's read buffer, per connection.
-_MAX_BUFFERED_BYTES = 262_144
+#: Requests up to this size are joined, so that they fit in one packet. Larger
+#: bodies are not copied.
+_MAX_JOINED_BYTES = 65_536
+#: Limit of asyncio's read buffer, per connection; asyncio goes up to twice of
+#: it.
+_BUFFER_BYTES = 262_144
+#: The same where the sum of held bytes is bounded: read buffers are not part
+#: of that sum.
+BOUNDED_BUFFER_BYTES = 16_384
 #: Maximum size of a response head.
 _MAX_HEAD_BYTES = 65_536
 #: Time without an acknowledgment after which the kernel closes the
@@ -47,6 +57,22 @@
     """The connection broke after the server may have read the request."""
 
 
+class ResponseMemory(Protocol):
+    """Bounds what is held of a response; see :mod:`lugcross.held_bytes`."""
+
+    def set_response(self, size: int) -> None:
+        """Set how much is held of a response that is read in whole."""
+
+    def may_hold_response(self) -> bool:
+        """Return whether a response may be held until it is read in whole."""
+
+    def may_read_response(self) -> bool:
+        """Return whether more of the response may be read."""
+
+    async def wait_to_read_response(self) -> None:
+        """Wait until more of the response may be read."""
+
+
 @final
 @dataclasses.dataclass(frozen=True)
 class ResponseHead:
@@ -61,16 +87,23 @@
     headers: list[tuple[bytes, bytes]]
 
 
-async def connect(host: str, port: int, *, timeout_s: float) -> "ClientConn":
+async def connect(
+    host: str,
+    port: int,
+    *,
+    timeout_s: float,
+    buffer_bytes: int = _BUFFER_BYTES,
+) -> "ClientConn":
     """Open a connection.
 
+    :param buffer_bytes: limit of the read buffer.
     :raises NoConnectionError: if it cannot be established within
         ``timeout_s``.
     """
     try:
         async with asyncio.timeout(timeout_s):
             reader, writer = await asyncio.open_connection(
-                host, port, limit=_MAX_BUFFERED_BYTES
+                host, port, limit=buffer_bytes
             )
     except (OSError, TimeoutError) as exc:
         raise NoConnectionError(
@@ -78,6 +111,7 @@
             remedy="send to another backend server",
         ) from exc
     _detect_dead_peer(writer)
+    caller_memory.limit_read_size(writer, min(_READ_BYTES, 2 * buffer_bytes))
     return ClientConn(reader, writer)
 
 
@@ -90,8 +124,11 @@
     ) -> None:
         self._reader = reader
         self._writer = writer
+        self._outbox = outbox.Outbox(writer)
         self._h11 = _h11_connection()
         self.request_count = 0
+        #: Bounds what is held of the present response; None for no bound.
+        self.memory: ResponseMemory | None = None
         #: Size of the last request, head and body.
         self._last_request_bytes = 0
 
@@ -106,7 +143,7 @@
             return False
         if self._h11.their_state is not h11.DONE or self.closing:
             return False
-        if self._writer.transport.get_write_buffer_size():
+        if not self._outbox.is_empty:
             # The server responded before it read the entire request. How it
             # treats the remaining bytes is unknown.
             return False
@@ -123,8 +160,7 @@
 
         On an idle connection such data belongs to no request.
         """
-        # StreamReader has no public way to inspect its buffer.
-        return bool(self._reader._buffer)  # type: ignore[attr-defined]
+        return bool(caller_memory.unread_bytes(self._reader))
 
     def nothing_acknowledged(self) -> bool:
         """Return whether no byte of the last request was acknowledged.
@@ -143,8 +179,7 @@
             logging.debug("cannot read the socket's send queue: %s", exc)
             return False
         queued: int = _SEND_QUEUE_SIZE.unpack(raw)[0]
-        waiting = self._writer.transport.get_write_buffer_size()
-        return queued + waiting >= self._last_request_bytes
+        return queued + self._outbox.size >= self._last_request_bytes
 
     def send(
         self,
@@ -158,15 +193,18 @@
             self._h11.start_next_cycle()
         self.request_count += 1
         head = h11.Request(method=method, target=target, headers=headers)
-        data = self._h11.send(head) or b""
+        parts = [self._h11.send(head) or b""]
         if body:
-            data += self._h11.send(h11.Data(data=body)) or b""
-        data += self._h11.send(h11.EndOfMessage()) or b""
+            parts.append(self._h11.send(h11.Data(data=body)) or b"")
+        parts.append(self._h11.send(h11.EndOfMessage()) or b"")
         # No drain(): the server may respond before it has read a long body,
         # and that response must be read at once. A lost connection is
         # detected when the response is read.
-        self._last_request_bytes = len(data)
-        self._writer.write(data)
+        self._last_request_bytes = sum(map(len, parts))
+        if self._last_request_bytes <= _MAX_JOINED_BYTES:
+            parts = [b"".join(parts)]
+        for part in parts:
+            self._outbox.write(part)
 
     async def read_head(self) -> ResponseHead:
         """Return the head of the final response, skipping 1xx responses.
@@ -211,6 +249,24 @@
             parts.append(data)
         return b"".join(parts)
 
+    async def read_body_to_hold(self) -> tuple[list[bytes], bool]:
+        """Return the rest of the body, as far as it may be held.
+
+        :returns: its parts, and whether they are all of it.
+        :raises ConnectionBrokenError: if the connection ends before the body
+            is complete.
+        """
+        parts = []
+        size = 0
+        while (data := await self.read_data()) is not None:
+            parts.append(data)
+            size += len(data)
+            if self.memory is not None:
+                self.memory.set_response(size)
+                if not self.memory.may_hold_response():
+                    return parts, False
+        return parts, True
+
     def expect_another_response(self, method: bytes) -> None:
         """Prepare to read another response to the last request.
 
@@ -230,7 +286,7 @@
 
     def close(self) -> None:
         """Close immediately and discard unsent data."""
-        self._writer.transport.abort()
+        self._outbox.abort()
 
     async def _next_event(self) -> h11.Event:
         while True:
@@ -246,6 +302,10 @@
             raise _broken_error("the peer closed the connection")
 
     async def _receive(self) -> None:
+        memory = self.memory
+        if memory is not None and not memory.may_read_response():
+            with caller_memory.paused(self._reader, self._writer):
+                await memory.wait_to_read_response()
         try:
             data = await self._reader.read(_READ_BYTES)
         except OSError as exc:
--- a/src/lugcross/http1/server.py
+++ b/src/lugcross/http1/server.py
@@ -4,7 +4,6 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Coroutine
-import dataclasses
 import datetime
 import http
 from typing import Any
@@ -15,96 +14,38 @@
 
 from lugcross import clock as clock_lib
 from lugcross import desired
-from lugcross import errors
+from lugcross import held_bytes
+from lugcross.http1 import caller_memory
+from lugcross.http1 import caller_request
+from lugcross.http1 import response_writer
 
 _READ_BYTES = 65_536
-#: Unsent response data above which writes wait for the caller to read.
+#: Unsent response data above which writes wait for the caller to read, where
+#: the sum of held bytes is not bounded.
 _MAX_BUFFERED_BYTES = 262_144
 #: Bytes of pipelined requests that are read while one request is served.
 #: Past the limit this process stops reading, and detects a disconnect only
 #: by its next write.
 _MAX_PIPELINED_BYTES = 131_072
+#: Response parts up to this size are joined, so that they fit in one packet.
+_MAX_JOINED_BYTES = 65_536
 
 
-class CallerDisconnectedError(errors.LugcrossError):
-    """The caller closed its connection."""
-
-
-@final
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Request:
-    """A complete request of a caller.
-
-    :param headers: headers with names in lower case.
-    :param raw_headers: headers with names spelled as received.
-    :param body: None if the request had neither Content-Length nor
-        Transfer-Encoding.
-    :param received_at: when the head was complete.
-    """
-
-    method: bytes
-    target: bytes
-    headers: list[tuple[bytes, bytes]]
-    raw_headers: list[tuple[bytes, bytes]]
-    body: bytes | None
-    received_at: clock_lib.Instant
-
-
-Handler = Callable[["ResponseWriter", Request], Coroutine[Any, Any, None]]
-
-
-class _BadRequestError(errors.LugcrossError):
-    """A request that this process answers with an error response."""
-
-    def __init__(self, status: http.HTTPStatus, what: str) -> None:
-        super().__init__(what, remedy="fix the request")
-        self.status = status
-
-
-@final
-class ResponseWriter:
-    """Writes the response to one request."""
-
-    def __init__(self, conn: "ServerConn") -> None:
-        self._conn = conn
-        self.head_written = False
-        self.finished = False
-
-    async def write_head(
-        self,
-        status: int,
-        headers: list[tuple[bytes, bytes]],
-        body: bytes = b"",
-        *,
-        complete: bool = False,
-    ) -> None:
-        """Write the head and the first part of the body.
-
-        :param complete: whether ``body`` is the entire body.
-        :raises CallerDisconnectedError: if the caller has closed its
-            connection.
-        """
-        self.head_written = True
-        await self._conn.write_head(status, headers, body, complete=complete)
-        self.finished = complete
-
-    async def write_data(self, data: bytes) -> None:
-        """Write the next part of the body."""
-        await self._conn.write_event(h11.Data(data=data))
-
-    async def finish(self) -> None:
-        """Write the end of the response."""
-        await self._conn.write_event(h11.EndOfMessage())
-        self.finished = True
+Handler = Callable[
+    [response_writer.ResponseWriter, caller_request.Request],
+    Coroutine[Any, Any, None],
+]
 
 
 @final
 class ServerConn:
     """Serves one connection until either side closes it.
 
-    :param limits: returns the current limits on requests.
+    :param limits: returns the current limits on caller_request.
     :param draining: returns whether connections are to close after the
         current response.
+    :param held: counts and bounds what is held for this caller; None, or one
+        without a limit, to let each write wait for the caller instead.
     """
 
     def __init__(
@@ -116,6 +57,7 @@
         limits: Callable[[], desired.RequestLimits],
         draining: Callable[[], bool],
         clock: clock_lib.Clock,
+        held: held_bytes.HeldBytes | None = None,
     ) -> None:
         self._reader = reader
         self._writer = writer
@@ -126,19 +68,30 @@
         self._h11 = _h11_connection(limits())
         self._method = b""
         self._pipelined_bytes = 0
+        #: Size of the body of the present request.
+        self._body_bytes = 0
         self.busy = False
-        writer.transport.set_write_buffer_limits(high=_MAX_BUFFERED_BYTES)
+        self._body_refused = False
+        self.memory: caller_memory.CallerMemory | None = None
+        if held is not None and held.limit is not None:
+            self.memory = caller_memory.CallerMemory(
+                held.open(), reader, writer
+            )
+        else:
+            writer.transport.set_write_buffer_limits(high=_MAX_BUFFERED_BYTES)
 
     async def run(self) -> None:
         """Serve requests until the connection ends."""
         try:
             while await self._serve_one():
                 pass
-        except (CallerDisconnectedError, OSError):
+        except (caller_request.CallerDisconnectedError, OSError):
             # The handler was cancelled when the caller disconnected.
-            self._writer.transport.abort()
+            self._abort()
         finally:
             self.busy = False
+            if self.memory is not None:
+                self.memory.close()
             self._writer.close()
 
     def close_if_idle(self) -> None:
@@ -160,18 +113,34 @@
             body = b""
         elif complete:
             headers.append((b"Content-Length", str(len(body)).encode()))
-        if self._draining():
+        if self._draining() or self._body_refused:
             headers.append((b"Connection", b"close"))
-        out = self._send(
-            h11.Response(
-                status_code=status, headers=headers, reason=_reason(status)
+        parts = [
+            self._send(
+                h11.Response(
+                    status_code=status,
+                    headers=headers,
+                    reason=caller_request.reason_phrase(status),
+                )
             )
-        )
+        ]
         if body:
-            out += self._send(h11.Data(data=body))
+            parts.append(self._send(h11.Data(data=body)))
         if complete:
-            out += self._send(h11.EndOfMessage())
-        await self._write(out)
+            parts.append(self._send(h11.EndOfMessage()))
+            if self.memory is not None:
+                # It counts as unsent from now on.
+                self.memory.set_response(0)
+        await self._write(*parts)
+
+    async def flush(self) -> None:
+        """Wait until the caller has taken everything that was written."""
+        if self.memory is None:
+            return
+        try:
+            await self.memory.outbox.flush()
+        except OSError as exc:
+            raise caller_request.disconnected_error(str(exc)) from exc
 
     async def write_event(self, event: h11.Data | h11.EndOfMessage) -> None:
         """Write body data or the end of the response."""
@@ -180,30 +149,47 @@
     def _send(self, event: h11.Event) -> bytes:
         return self._h11.send(event) or b""
 
-    async def _write(self, data: bytes) -> None:
+    async def _write(self, *parts: bytes) -> None:
         if self._writer.is_closing():
-            raise _disconnected_error("the connection is closed")
+            raise caller_request.disconnected_error("the connection is closed")
+        if sum(map(len, parts)) <= _MAX_JOINED_BYTES:
+            parts = (b"".join(parts),)
+        if self.memory is not None:
+            for part in parts:
+                self.memory.outbox.write(part)
+            return
         try:
-            self._writer.write(data)
+            for part in parts:
+                self._writer.write(part)
             await self._writer.drain()
         except OSError as exc:
-            raise _disconnected_error(str(exc)) from exc
+            raise caller_request.disconnected_error(str(exc)) from exc
+
+    def _abort(self) -> None:
+        if self.memory is not None:
+            self.memory.outbox.abort()
+        self._writer.transport.abort()
 
     async def _serve_one(self) -> bool:
         """Serve one request; return whether another may follow."""
         try:
             req = await self._read_request()
-        except _BadRequestError as exc:
+        except caller_request.BadRequestError as exc:
             await self._send_error_response(exc)
             return False
         if req is None:
             return False
-        response = ResponseWriter(self)
+        response = response_writer.ResponseWriter(self)
         await self._run_handler(response, req)
-        if not response.finished:
+        if not response.finished or not await self._flush_rest():
             # Aborting shows the caller that the response is incomplete.
-            self._writer.transport.abort()
+            self._abort()
+            return False
+        if req.body_refused:
+            await caller_memory.discard_rest(self._reader, self._writer)
             return False
+        if self.memory is not None:
+            self.memory.end_request(len(self._h11.trailing_data[0]))
         if self._h11.our_state is not h11.DONE:
             return False
         if self._h11.their_state is not h11.DONE:
@@ -212,8 +198,23 @@
         self.busy = False
         return True
 
+    async def _flush_rest(self) -> bool:
+        """Wait until the caller has taken a short response.
+
+        Handlers wait for long ones until their deadline.
+        """
+        timeout = self._limits().idle_timeout
+        try:
+            async with asyncio.timeout(timeout.total_seconds()):
+                await self.flush()
+        except TimeoutError:
+            return False
+        return True
+
     async def _run_handler(
-        self, response: ResponseWriter, req: Request
+        self,
+        response: response_writer.ResponseWriter,
+        req: caller_request.Request,
     ) -> None:
         """Run the handler; cancel it when the caller disconnects."""
         work = asyncio.create_task(self._handler(response, req))
@@ -223,16 +224,18 @@
                 (work, watch), return_when=asyncio.FIRST_COMPLETED
             )
             if not work.done():
-                raise _disconnected_error("before its response was complete")
+                raise caller_request.disconnected_error(
+                    "before its response was complete"
+                )
         finally:
             work.cancel()
             watch.cancel()
             await asyncio.gather(work, watch, return_exceptions=True)
         error = work.exception()
         if error is not None:
-            if not isinstance(error, CallerDisconnectedError):
+            if not isinstance(error, caller_request.CallerDisconnectedError):
                 logging.error("request handler failed", exc_info=error)
-            raise _disconnected_error(
+            raise caller_request.disconnected_error(
                 "the response could not be written"
             ) from error
 
@@ -246,36 +249,53 @@
             if not data:
                 return
             self._pipelined_bytes += len(data)
+            if self.memory is not None:
+                self.memory.set_body(self._body_bytes + self._pipelined_bytes)
             self._h11.receive_data(data)
         await asyncio.get_running_loop().create_future()
 
-    async def _read_request(self) -> Request | None:
+    async def _read_request(self) -> caller_request.Request | None:
         limits = self._limits()
         self._pipelined_bytes = 0
+        self._body_bytes = 0
         head = await self._read_head(limits)
         if head is None:
             return None
         self._method = head.method
         received_at = self._clock.monotonic()
         headers = list(head.headers)
-        _check_framing(headers, limits)
-        if self._h11.they_are_waiting_for_100_continue:
-            go_on = h11.InformationalResponse(status_code=100, headers=[])
-            await self._write(self._send(go_on))
-        body = await self._read_body(limits)
-        framed = any(
-            name in (b"content-length", b"transfer-encoding")
-            for name, _ in headers
+        caller_request.check_framing(headers, limits)
+        self._body_refused = (
+            caller_request.has_body(headers)
+            and self.memory is not None
+            and not self.memory.admits_body()
         )
-        return Request(
+        body = b""
+        if not self._body_refused:
+            body = await self._read_whole_body(limits)
+        if self._body_refused:
+            # Reads no more while the refusal is written.
+            self._pipelined_bytes = _MAX_PIPELINED_BYTES
+        return caller_request.Request(
             method=head.method,
             target=head.target,
             headers=headers,
             raw_headers=list(head.headers.raw_items()),
-            body=body if framed else None,
+            body=body if caller_request.is_framed(headers) else None,
             received_at=received_at,
+            body_refused=self._body_refused,
         )
 
+    async def _read_whole_body(self, limits: desired.RequestLimits) -> bytes:
+        if self._h11.they_are_waiting_for_100_continue:
+            go_on = h11.InformationalResponse(status_code=100, headers=[])
+            await self._write(self._send(go_on))
+        body = await self._read_body(limits)
+        if self.memory is not None:
+            self.memory.set_body(len(body))
+        self._body_bytes = len(body)
+        return body
+
     async def _read_head(
         self, limits: desired.RequestLimits
     ) -> h11.Request | None:
@@ -291,7 +311,7 @@
             if not await self._receive(max(left, datetime.timedelta())):
                 if self._reader.at_eof():
                     return None
-                raise _BadRequestError(
+                raise caller_request.BadRequestError(
                     http.HTTPStatus.REQUEST_TIMEOUT,
                     "the request head did not arrive in time",
                 )
@@ -306,27 +326,40 @@
         while True:
             event = self._next_event()
             if event is h11.NEED_DATA:
+                if not await self._may_read_body():
+                    return b""
                 if await self._receive(limits.idle_timeout):
                     continue
                 if self._reader.at_eof():
-                    raise _disconnected_error("within its request")
-                raise _BadRequestError(
+                    raise caller_request.disconnected_error(
+                        "within its request"
+                    )
+                raise caller_request.BadRequestError(
                     http.HTTPStatus.REQUEST_TIMEOUT,
                     "the request body stalled for too long",
                 )
             if isinstance(event, h11.Data):
                 size += len(event.data)
                 if size > limits.max_body_bytes:
-                    raise _too_large_error(limits)
+                    raise caller_request.too_large_error(limits)
                 parts.append(bytes(event.data))
+                if self.memory is not None:
+                    self.memory.set_body(size)
                 continue
             return b"".join(parts)
 
+    async def _may_read_body(self) -> bool:
+        """Wait for memory; note if the request is refused for lack of it."""
+        if self.memory is None or await self.memory.wait_to_read_body():
+            return True
+        self._body_refused = True
+        return False
+
     def _next_event(self) -> Any:
         try:
             return self._h11.next_event()
         except h11.RemoteProtocolError as exc:
-            raise _BadRequestError(
+            raise caller_request.BadRequestError(
                 http.HTTPStatus(exc.error_status_hint), str(exc)
             ) from exc
 
@@ -341,7 +374,9 @@
             self._h11.receive_data(data)
         return bool(data)
 
-    async def _send_error_response(self, exc: _BadRequestError) -> None:
+    async def _send_error_response(
+        self, exc: caller_request.BadRequestError
+    ) -> None:
         logging.warning(
             "bad request",
             extra={"status": exc.status.value, "why": exc.what},
@@ -357,7 +392,7 @@
         head = h11.Response(
             status_code=exc.status,
             headers=headers,
-            reason=_reason(exc.status),
+            reason=caller_request.reason_phrase(exc.status),
         )
         out = self._send(head) + self._send(h11.Data(data=body))
         await self._write(out + self._send(h11.EndOfMessage()))
@@ -372,39 +407,3 @@
     return h11.Connection(
         h11.SERVER, max_incomplete_event_size=limits.max_head_bytes
     )
-
-
-def _check_framing(
-    headers: list[tuple[bytes, bytes]], limits: desired.RequestLimits
-) -> None:
-    found = {name: value for name, value in headers}
-    length = found.get(b"content-length")
-    if length is not None and b"transfer-encoding" in found:
-        # Request smuggling: a proxy or server that obeys the other header
-        # would see a different request boundary.
-        raise _BadRequestError(
-            http.HTTPStatus.BAD_REQUEST,
-            "the request has both Content-Length and Transfer-Encoding",
-        )
-    if length is not None and int(length) > limits.max_body_bytes:
-        raise _too_large_error(limits)
-
-
-def _too_large_error(limits: desired.RequestLimits) -> _BadRequestError:
-    return _BadRequestError(
-        http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
-        f"the request body exceeds {limits.max_body_bytes} bytes",
-    )
-
-
-def _reason(status: int) -> bytes:
-    try:
-        return http.HTTPStatus(status).phrase.encode()
-    except ValueError:
-        return b"Unknown"
-
-
-def _disconnected_error(why: str) -> CallerDisconnectedError:
-    return CallerDisconnectedError(
-        f"the caller disconnected: {why}", remedy="nothing to do"
-    )
--- a/testing/edge/test_process.py
+++ b/testing/edge/test_process.py
@@ -30,6 +30,7 @@
   repeat_window_s: 10
   repeat_slack: 0
   contact_ms: 3000
+memory_mb: 152
 """
 DESIRED = (
     b'{"version":1,"routes":[{"name":"r","host":"h","path_prefix":"/r/",'
@@ -102,6 +103,9 @@
         )
         writer.write(rig.request())
         first = await reader.readuntil(b"data: a\n\n")
+        figures = (await _get(ports["metrics"], b"/metrics")).body
+        assert b"lugcross_edge_held_bytes 0.0" in figures
+        assert b"lugcross_edge_held_bytes_limit 4.4e+07" in figures
         proc.send_signal(signal.SIGTERM)
         await _until_status(ports["ready"], 503)
         may_finish.set()
--- a/testing/support/crash_rig.py
+++ b/testing/support/crash_rig.py
@@ -214,6 +214,9 @@
     async def read_body(self) -> bytes:
         return b"whole"
 
+    async def read_body_to_hold(self) -> tuple[list[bytes], bool]:
+        return [b"whole"], True
+
     def close(self) -> None:
         self.closing = True
 
@@ -221,6 +224,9 @@
 class _RecordedExchange:
     """Exchange that records the answer to a caller."""
 
+    #: Held bytes are not bounded.
+    memory = None
+
     def __init__(self, answer: Answer) -> None:
         self._answer = answer
         self.head_written = False
--- a/testing/support/edge_rig.py
+++ b/testing/support/edge_rig.py
@@ -264,9 +264,17 @@
 
 
 class Rig:
-    """A request handler with its edge state and fake backend servers."""
+    """A request handler with its edge state and fake backend servers.
 
-    def __init__(self, clock: clock_lib.Clock | None = None) -> None:
+    :param memory_mb: memory of the host; none to bound no held bytes.
+    """
+
+    def __init__(
+        self,
+        clock: clock_lib.Clock | None = None,
+        *,
+        memory_mb: float | None = None,
+    ) -> None:
         self.clock = clock or clock_lib.SystemClock()
         settings = settings_lib.Settings(
             node="n1",
@@ -279,6 +287,7 @@
             ),
             store=settings_lib.Store(address=f"{HOST}:1", form="log"),
             bounds=BOUNDS,
+            memory_mb=memory_mb,
         )
         rng = new_rng()
         self.edge_state = edge_state_lib.EdgeState(
@@ -315,7 +324,9 @@
             end=ids.Offset(len(rows)), records=tuple(rows)
         )
         self.edge_state.backends.apply(tail, store_was_away=False)
-        self._server = await asyncio.start_server(self._serve, HOST, 0)
+        self._server = await asyncio.start_server(
+            self._serve, HOST, 0, limit=http1.CALLER_BUFFER_BYTES
+        )
         self.port = self._server.sockets[0].getsockname()[1]
 
     def close(self) -> None:
@@ -350,6 +361,7 @@
             limits=lambda: LIMITS,
             draining=lambda: self.draining,
             clock=self.clock,
+            held=self.edge_state.held_bytes,
         )
         await conn.run()
 
