Count a long body as acknowledged in part, and forget callbacks of waits

A body that is passed on in chunks counted in full until its last chunk was sent, so that a server that reads a long body slowly seemed to acknowledge nothing, and the request would have been sent to another one. Waits at the bound that ended for another reason left their callback behind. A response that is delivered in parts though it was read in whole states its length again, whatever the server's framing.

--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,7 @@
 # had, which a test beside them may have taken meanwhile.
 TEST_JOBS ?= 4
 DECISIONS := $(addprefix testing/,agent cfg crash_suspects edge entry experts \
-    membership placement routing shares)
+    held_bytes membership placement routing shares)
 ALONE := $(addprefix testing/edge/,test_process.py test_state_sync.py)
 
 test: venv
--- a/src/lugcross/edge/attempt.py
+++ b/src/lugcross/edge/attempt.py
@@ -302,7 +302,9 @@
         # There is no memory to hold all of it, or to copy it.
         self._caller_response.note_held(0)
         for part in parts:
-            await self._caller_response.write_part(http_head, part)
+            await self._caller_response.write_part(
+                http_head, part, size if complete else None
+            )
         parts.clear()
         if not complete:
             while (data := await conn.read_data()) is not None:
--- a/src/lugcross/edge/caller_response.py
+++ b/src/lugcross/edge/caller_response.py
@@ -9,6 +9,8 @@
 from lugcross import http1
 from lugcross import platform
 
+_LENGTH = b"content-length"
+
 
 @final
 class CallerResponse:
@@ -65,15 +67,23 @@
             head.status, headers, body, complete=True
         )
 
-    async def write_part(self, head: http1.ResponseHead, data: bytes) -> None:
-        """Write a part of a response that is no stream of events."""
+    async def write_part(
+        self, head: http1.ResponseHead, data: bytes, size: int | None = None
+    ) -> None:
+        """Write a part of a response that is no stream of events.
+
+        :param size: size of the body; None if only the head may state it.
+        """
         self.in_parts = True
         if self.started:
             await self._writer.write_data(data)
             return
         self._mark_started(head)
         headers = platform.headers_to_caller(head.raw_headers)
-        headers += [one for one in head.headers if one[0] == b"content-length"]
+        if size is None:
+            headers += [(n, v) for n, v in head.headers if n == _LENGTH]
+        else:
+            headers.append((_LENGTH, str(size).encode()))
         await self._writer.write_head(head.status, headers, data)
 
     def hold_failure(self, head: http1.ResponseHead, body: bytes) -> None:
--- a/src/lugcross/held_bytes/ledger.py
+++ b/src/lugcross/held_bytes/ledger.py
@@ -93,7 +93,8 @@
         self._holdings: set[Holding] = set()
         #: The connection whose body is read on at the bound.
         self._turn: Holding | None = None
-        self._callbacks: list[Callable[[], None]] = []
+        #: In the order in which they were added.
+        self._callbacks: dict[Callable[[], None], None] = {}
 
     @property
     def total(self) -> int:
@@ -121,7 +122,11 @@
 
     def call_on_change(self, callback: Callable[[], None]) -> None:
         """Call ``callback`` once, when a connection that waits may go on."""
-        self._callbacks.append(callback)
+        self._callbacks[callback] = None
+
+    def forget(self, callback: Callable[[], None]) -> None:
+        """Do not call ``callback`` any more."""
+        self._callbacks.pop(callback, None)
 
     def add(self, change: int) -> None:
         """Add to the sum; used by holdings only."""
@@ -178,7 +183,7 @@
             self._notify()
 
     def _notify(self) -> None:
-        callbacks, self._callbacks = self._callbacks, []
+        callbacks, self._callbacks = self._callbacks, {}
         for callback in callbacks:
             callback()
 
@@ -244,6 +249,10 @@
         """Call ``callback`` once, when a connection that waits may go on."""
         self._held.call_on_change(callback)
 
+    def forget(self, callback: Callable[[], None]) -> None:
+        """Do not call ``callback`` any more."""
+        self._held.forget(callback)
+
     def close(self) -> None:
         """Note that nothing is held for this connection any more."""
         self.end_request()
--- a/src/lugcross/http1/caller_memory.py
+++ b/src/lugcross/http1/caller_memory.py
@@ -176,4 +176,7 @@
                 changed.set_result(None)
 
         self._holding.call_on_change(notify)
-        await changed
+        try:
+            await changed
+        finally:
+            self._holding.forget(notify)
--- a/src/lugcross/http1/client.py
+++ b/src/lugcross/http1/client.py
@@ -179,7 +179,7 @@
             logging.debug("cannot read the socket's send queue: %s", exc)
             return False
         queued: int = _SEND_QUEUE_SIZE.unpack(raw)[0]
-        return queued + self._outbox.size >= self._last_request_bytes
+        return queued + self._outbox.unsent_bytes >= self._last_request_bytes
 
     def send(
         self,
--- a/src/lugcross/http1/outbox.py
+++ b/src/lugcross/http1/outbox.py
@@ -17,7 +17,7 @@
 
     Holds data without a copy, and passes it to the transport in chunks.
 
-    :param on_size_change: called with the size of the unsent data.
+    :param on_size_change: called with the memory held for unsent data.
     """
 
     def __init__(
@@ -39,11 +39,16 @@
 
     @property
     def size(self) -> int:
-        """Size of the data that the socket has not taken."""
+        """Memory that is held for data that the socket has not taken."""
         return (
             self._parts_bytes + self._writer.transport.get_write_buffer_size()
         )
 
+    @property
+    def unsent_bytes(self) -> int:
+        """How many bytes the socket has not taken."""
+        return self.size - self._sent_of_first
+
     @property
     def is_empty(self) -> bool:
         """Whether the socket has taken everything."""
--- a/testing/held_bytes/test_ledger.py
+++ b/testing/held_bytes/test_ledger.py
@@ -131,6 +131,21 @@
     assert quick.may_hold_response()
 
 
+def test_a_connection_that_no_longer_waits_is_forgotten(held):
+    """Guards against callbacks that pile up at the bound."""
+    first = _fill(held, 1000)
+    notified = []
+
+    def notify() -> None:
+        notified.append(1)
+
+    first.call_on_change(notify)
+    first.forget(notify)
+    first.forget(notify)
+    first.set(Kind.UNSENT, 0)
+    assert not notified
+
+
 def test_without_a_limit_nothing_is_refused_and_the_sum_is_counted():
     """Guards against a bound where none is set."""
     held = held_bytes.HeldBytes(None)
--- a/testing/http1/test_client.py
+++ b/testing/http1/test_client.py
@@ -53,6 +53,20 @@
     return answer.status, body
 
 
+def test_a_part_of_a_long_body_that_was_read_counts_as_acknowledged():
+    """Guards against a request that is sent again while a server reads it."""
+    size = 16 * 1_048_576
+
+    async def act(conn):
+        headers = [*HEADERS, (b"Content-Length", b"%d" % size)]
+        conn.send(b"POST", b"/", headers, b"x" * size)
+        # The server has read the head.
+        await conn.read_head()
+        return conn.nothing_acknowledged()
+
+    assert not _run_against(_respond_with(b"HTTP/1.1 200 OK\r\n\r\n"), act)
+
+
 def test_early_response_to_a_long_body_is_read_without_connection_reuse():
     size = 16 * 1_048_576
 
