Skip the wait for a caller that has taken its response

Each request waited for its caller through the transport's limits although most responses are taken by the socket at once.

--- a/src/lugcross/http1/outbox.py
+++ b/src/lugcross/http1/outbox.py
@@ -78,6 +78,9 @@
         """
         if self._pump_task is not None:
             await asyncio.wait((self._pump_task,))
+        if self.is_empty and not self._writer.is_closing():
+            self._on_size_change(0)
+            return
         self._set_transport_limit(0)
         try:
             await self._writer.drain()
