--- a/Makefile
+++ b/Makefile
@@ -21,8 +21,8 @@
 # had, which a test beside them may have taken meanwhile.
 TEST_JOBS ?= 4
 DECISIONS := $(addprefix testing/,agent cfg crash_suspects edge entry experts \
-    evacuation membership placement rate_limits reachability routing shares \
-    urgency)
+    evacuation held_bytes membership placement rate_limits reachability \
+    routing shares urgency)
 ALONE := $(addprefix testing/edge/,test_process.py test_state_sync.py)
 
 test: venv
--- a/src/lugcross/edge/connection_pool.py
+++ b/src/lugcross/edge/connection_pool.py
@@ -45,17 +45,21 @@
     """Idle connections by backend server; the newest is reused first.
 
     :param reachability: is told which connections could be opened.
+    :param bounded: whether the sum of held bytes is bounded.
     """
 
     def __init__(
         self,
         clock: clock_lib.Clock,
         reachability: reachability_lib.DomainReachability | None = None,
+        *,
+        bounded: bool = False,
     ) -> None:
         self._clock = clock
         self._reachability = (
             reachability or reachability_lib.DomainReachability(clock)
         )
+        self._bounded = bounded
         self._idle: dict[desired.BackendKey, list[_IdleConnection]] = {}
 
     async def acquire(
@@ -88,9 +92,7 @@
                 return one.conn
             one.conn.close()
         try:
-            conn = await http1.connect(
-                backend.host, backend.port, timeout_s=_CONNECT_TIMEOUT_S
-            )
+            conn = await self._connect(backend)
         except http1.NoConnectionError:
             self._reachability.record_not_connected(
                 backend.domain, backend.address, begun_at=now
@@ -99,6 +101,18 @@
         self._reachability.record_connected(backend.domain, backend.address)
         return conn
 
+    async def _connect(self, backend: desired.Backend) -> http1.ClientConn:
+        if self._bounded:
+            return await http1.connect(
+                backend.host,
+                backend.port,
+                timeout_s=_CONNECT_TIMEOUT_S,
+                buffer_bytes=http1.BOUNDED_BUFFER_BYTES,
+            )
+        return await http1.connect(
+            backend.host, backend.port, timeout_s=_CONNECT_TIMEOUT_S
+        )
+
     def release(
         self,
         backend: desired.Backend,
--- a/src/lugcross/edge/edge_state.py
+++ b/src/lugcross/edge/edge_state.py
@@ -25,6 +25,7 @@
 from lugcross.edge import server_selection as server_selection_lib
 from lugcross.edge import settings as settings_lib
 from lugcross.edge import workspace_usage
+from lugcross import held_bytes
 from lugcross import ids
 from lugcross import platform
 from lugcross import rate_limits
@@ -104,7 +105,14 @@
         self.workspace_usage.weights = settings.shares.weights
         self.reachability = self.selection.reachability
         self.reachability.own_address = settings.listen.peers
-        self.pool = connection_pool.ConnectionPool(clock, self.reachability)
+        self.held_bytes = held_bytes.HeldBytes(
+            held_bytes.limit_bytes(settings.memory_mb)
+        )
+        self.pool = connection_pool.ConnectionPool(
+            clock,
+            self.reachability,
+            bounded=self.held_bytes.limit is not None,
+        )
         self.metrics = metrics_lib.EdgeMetrics()
         self.crash_tracker = crash_tracker_lib.CrashTracker(
             clock, software_versions=self.software_versions
--- a/src/lugcross/edge/eligible_servers.py
+++ b/src/lugcross/edge/eligible_servers.py
@@ -89,13 +89,18 @@
 def without_unused(
     servers: list[desired.Backend],
     reachability: reachability_lib.DomainReachability,
+    cold: Collection[desired.BackendKey],
 ) -> list[desired.Backend]:
     """Return the servers without those that are not used again yet.
 
     Returns all if there are no others.
+
+    :param cold: servers that are used, since their rate is limited anyway.
     """
     used = [
-        one for one in servers if reachability.may_use(one.domain, one.address)
+        one
+        for one in servers
+        if one.key in cold or reachability.may_use(one.domain, one.address)
     ]
     return used or servers
 
@@ -104,18 +109,25 @@
     servers: list[desired.Backend],
     reachability: reachability_lib.DomainReachability,
     rng: random.Random,
+    cold: Collection[desired.BackendKey],
 ) -> list[desired.Backend]:
     """Return the servers for one request, without some returning domains.
 
     Idle servers would get all requests of all processes at first. A growing
     part of the requests may go to them, and all if there are no others.
+
+    :param cold: servers that are left in, since their rate is limited anyway.
     """
     skipped = {
         domain
         for domain, fraction in reachability.returning_fractions()
         if rng.random() >= fraction
     }
-    return [one for one in servers if one.domain not in skipped] or servers
+    if not skipped:
+        return servers
+    return [
+        one for one in servers if one.domain not in skipped or one.key in cold
+    ] or servers
 
 
 def _random_slice(
--- a/src/lugcross/edge/map_manager.py
+++ b/src/lugcross/edge/map_manager.py
@@ -133,7 +133,9 @@
         """
         if not self._was_leader:
             return
-        for group in self._groups.note_crashed_servers(servers):
+        for group in self._groups.note_crashed_servers(
+            servers, self._clock.monotonic()
+        ):
             self._note_break(group)
             self._publish_state(group)
 
@@ -235,7 +237,7 @@
             for one in self._edge_state.backends.all()
             if one.service == service
         ]
-        self._groups.retain_servers(backends)
+        self._groups.retain_servers(service, backends)
         self._mark_unreachable(backends)
         groups = self._groups.of_service(service)
         await asyncio.gather(
--- a/src/lugcross/edge/rank_groups.py
+++ b/src/lugcross/edge/rank_groups.py
@@ -19,6 +19,11 @@
 #: the delay with which engine reports become readable from other hosts, so
 #: that asking more often would return the same report.
 _SHORT_REPORT_INTERVAL = datetime.timedelta(milliseconds=200)
+#: How long the crash of a rank keeps its group closed while other ranks report
+#: it as open. They report it as broken after they have stood still for 1.5 s,
+#: and reports lag by up to 0.5 s. If they still report it as open, the rank's
+#: host was only unreachable for a moment.
+_CRASH_HOLD_TIME = datetime.timedelta(seconds=3)
 #: Upper bound of :meth:`RankGroup.passes_ahead`, also used while the pass time
 #: or the report lag is unknown.
 _MAX_PASSES_AHEAD_COUNT = 5
@@ -32,8 +37,9 @@
     :param servers_by_rank: the backend server of each known rank; complete
         once it has ``rank_count`` entries.
     :param epoch: newest epoch that a rank has reported.
-    :param epoch_of_crash: epoch in which a rank has crashed; the group opens
-        again only in a later one, whatever its other ranks report meanwhile.
+    :param epoch_of_crash: epoch in which a rank has crashed; for a while the
+        group opens again only in a later one, whatever its ranks report.
+    :param crash_noted_at: when that was noted.
     :param has_unreachable_rank: whether a rank is in an unreachable domain,
         or is missing and cannot be known to be reachable; the group is not
         open then, whatever its other ranks report.
@@ -66,6 +72,7 @@
     )
     epoch: experts.Epoch = experts.Epoch(0)
     epoch_of_crash: experts.Epoch | None = None
+    crash_noted_at: clock_lib.Instant = datetime.timedelta()
     has_unreachable_rank: bool = False
     is_open: bool = False
     last_pass: experts.PassNumber = experts.PassNumber(0)
@@ -212,7 +219,7 @@
             self.planned_demand_read_at = None
         self.is_open = (
             report.is_open
-            and self.epoch != self.epoch_of_crash
+            and not self._has_crashed_rank(now)
             and not self.has_unreachable_rank
         )
         self.last_pass = report.last_pass
@@ -231,6 +238,12 @@
         if report.rank == 0 and not self.is_switching:
             self._note_hold(report.held_pass, now)
 
+    def _has_crashed_rank(self, now: clock_lib.Instant) -> bool:
+        return (
+            self.epoch == self.epoch_of_crash
+            and now - self.crash_noted_at < _CRASH_HOLD_TIME
+        )
+
     def _note_hold(
         self, held_pass: experts.PassNumber | None, now: clock_lib.Instant
     ) -> None:
@@ -269,7 +282,9 @@
         self._group_by_server: dict[desired.BackendKey, RankGroup] = {}
         self._noted_crashed_servers: frozenset[str] = frozenset()
 
-    def note_crashed_servers(self, servers: frozenset[str]) -> list[RankGroup]:
+    def note_crashed_servers(
+        self, servers: frozenset[str], now: clock_lib.Instant
+    ) -> list[RankGroup]:
         """Mark the groups of crashed ranks as not open.
 
         :param servers: all servers that are known to have crashed. One that
@@ -282,6 +297,7 @@
             if group is None:
                 continue
             group.epoch_of_crash = group.epoch
+            group.crash_noted_at = now
             if group.is_open:
                 group.is_open = False
                 broken.append(group)
@@ -391,12 +407,15 @@
             k: g for k, g in self._group_by_server.items() if g is not group
         }
 
-    def retain_servers(self, backends: Iterable[desired.Backend]) -> None:
-        """Forget the ranks of all backend servers but ``backends``."""
+    def retain_servers(
+        self, service: ids.ServiceName, backends: Iterable[desired.Backend]
+    ) -> None:
+        """Forget the ranks of a service's servers but ``backends``."""
         known = {one.key for one in backends}
-        for key in self._group_by_server.keys() - known:
-            del self._group_by_server[key]
-        for group in self._groups.values():
+        for key, group in list(self._group_by_server.items()):
+            if key not in known and group.service == service:
+                del self._group_by_server[key]
+        for group in self.of_service(service):
             for rank, backend in list(group.servers_by_rank.items()):
                 if backend.key not in known:
                     del group.servers_by_rank[rank]
--- a/src/lugcross/edge/server_selection.py
+++ b/src/lugcross/edge/server_selection.py
@@ -40,7 +40,8 @@
     :param listed: usable servers of the service.
     :param filter_sets: the servers of broken groups, and those that are
         backing off, refusing, limited or slow, of all services; the
-        evacuated and the unreachable domains, and those used again in part.
+        evacuated and the unreachable domains, those used again in part, and
+        cold servers.
     :param servers: the result, which may include slow servers.
     """
 
@@ -120,6 +121,7 @@
         evacuated = self.evacuations.domains()
         unreachable = self.reachability.unreachable()
         returning = self.reachability.returning()
+        cold = self.limits.cold_servers()
         filter_sets = (
             broken,
             backing_off,
@@ -129,6 +131,7 @@
             evacuated,
             unreachable,
             returning,
+            cold,
         )
         cached = self._eligible_servers.get(service)
         if cached and cached.is_current(listed, filter_sets):
@@ -143,7 +146,7 @@
         ]
         if returning:
             usable = eligible_servers_lib.without_unused(
-                usable, self.reachability
+                usable, self.reachability, cold
             )
         accepting = [one for one in usable if one.key not in refusing]
         usable = eligible_servers_lib.without_slow(accepting or usable, slow)
@@ -202,7 +205,10 @@
         limited = self._limited_with_room(service)
         sample = self._without_waiting_cold(
             eligible_servers_lib.without_returning(
-                servers.sample(self._rng), self.reachability, self._rng
+                servers.sample(self._rng),
+                self.reachability,
+                self._rng,
+                self.limits.cold_servers(),
             )
         )
         found = self._choose_among([*sample, *limited], tried)
--- a/testing/edge/test_map_manager.py
+++ b/testing/edge/test_map_manager.py
@@ -375,6 +375,26 @@
     run(act)
 
 
+def test_group_whose_ranks_stay_open_after_a_reported_crash_opens_again():
+    """A cut of less than a second closed the group for ten minutes.
+
+    Connections to the rank were refused, which counted as a crash. The group
+    went on in the same epoch, but no request went there any more that could
+    have shown that the rank was still running.
+    """
+
+    async def act(rig: Rig) -> None:
+        await rig.rounds(2)
+        tracker = rig.edge_state.crash_tracker
+        tracker.on_crashed_servers(frozenset({"1"}))
+        await rig.rounds(2)
+        assert len(rig.maps.servers_of_broken_groups()) == RANK_COUNT
+        await rig.rounds(2)
+        assert not rig.maps.servers_of_broken_groups()
+
+    run(act)
+
+
 def test_group_is_open_again_if_its_rank_has_not_crashed_after_all():
     async def act(rig: Rig) -> None:
         await rig.rounds(2)
--- a/testing/edge/test_rank_groups.py
+++ b/testing/edge/test_rank_groups.py
@@ -101,7 +101,7 @@
     left = [*servers[:2], servers[4]]
     for rank, server in enumerate(left):
         query._engines.reports[server.key] = _report(rank, 3, 2)
-    groups.retain_servers(left)
+    groups.retain_servers(servers[0].service, left)
     _discover(query, [servers[4]], manual_clock)
     assert groups.servers_of_unknown_rank(left) == servers[:2]
     _discover(query, servers[:2], manual_clock)
@@ -120,7 +120,7 @@
     (group,) = groups.of_service(servers[0].service)
     assert group.is_complete
     left = servers[:3]
-    groups.retain_servers(left)
+    groups.retain_servers(servers[0].service, left)
     for rank, server in enumerate(left):
         query._engines.reports[server.key] = _report(rank, 3, 2)
     asyncio.run(query.update_state(group))
--- a/testing/support/crash_rig.py
+++ b/testing/support/crash_rig.py
@@ -218,6 +218,9 @@
     async def read_body(self) -> bytes:
         return b"whole"
 
+    async def read_body_to_hold(self) -> tuple[list[bytes], bool]:
+        return [b"whole"], True
+
     def close(self) -> None:
         self.closing = True
 
@@ -225,6 +228,9 @@
 class _RecordedExchange:
     """Exchange that records the answer to a caller."""
 
+    #: Held bytes are not bounded.
+    memory = None
+
     def __init__(self, answer: Answer) -> None:
         self._answer = answer
         self.head_written = False
