Compute a request's urgency number in one place, and skip repeated reports

Three places computed the number of a request's urgency, one of them from route and workspace anew; EdgeState does it. Heartbeats repeat known crashes, and each one compared all crashed servers; an unchanged set is skipped. unreachable_ranks found the groups of a service by itself where RankGroups.of_service does, and a frozenset was copied. A comment named a header of the platform outside its folder.

--- a/src/lugcross/edge/attempt.py
+++ b/src/lugcross/edge/attempt.py
@@ -173,7 +173,7 @@
             if checked.req.body is None
             else len(checked.req.body),
             priority=self._edge_state.request_priority(
-                checked.route, checked.service, checked.workspace
+                checked.service, checked.urgency
             ),
             resume_after=self._caller_response.last_event_id
             if resumed
--- a/src/lugcross/edge/crash_tracker.py
+++ b/src/lugcross/edge/crash_tracker.py
@@ -152,7 +152,7 @@
         """Record the servers of groups that a process reports as broken."""
         if len(self.registry):
             self._containment.note_broken(
-                frozenset[str](servers), self.registry.crashed_servers()
+                servers, self.registry.crashed_servers()
             )
 
     def note_crash_reports(self) -> None:
--- a/src/lugcross/edge/edge_state.py
+++ b/src/lugcross/edge/edge_state.py
@@ -310,17 +310,18 @@
             ),
         )
 
-    def urgencies(
-        self, service: ids.ServiceName
-    ) -> tuple[urgency.Urgency, ...]:
-        """Return the urgencies in use at a service, most urgent first."""
-        return self.desired.urgencies(service) if self.desired else ()
+    def urgency_number(
+        self, service: ids.ServiceName, of: urgency.Urgency
+    ) -> int | None:
+        """Return the number of an urgency at a service, 0 the most urgent.
+
+        :returns: None if all requests of the service have the same urgency.
+        """
+        in_use = self.desired.urgencies(service) if self.desired else ()
+        return urgency.request_priority(of, in_use)
 
     def request_priority(
-        self,
-        route: desired.Route,
-        service: ids.ServiceName,
-        workspace: desired.Workspace | None,
+        self, service: ids.ServiceName, of: urgency.Urgency
     ) -> int | None:
         """Return the priority that an engine is told, 0 for the most urgent.
 
@@ -329,9 +330,7 @@
         """
         if self.engine_spec(service) is None:
             return None
-        return urgency.request_priority(
-            desired.request_urgency(route, workspace), self.urgencies(service)
-        )
+        return self.urgency_number(service, of)
 
     def concurrency_limit(
         self, service: ids.ServiceName
--- a/src/lugcross/edge/rank_groups.py
+++ b/src/lugcross/edge/rank_groups.py
@@ -291,6 +291,9 @@
             is no longer among them has not crashed after all.
         :returns: the groups that were open so far.
         """
+        if servers is self._noted_crashed_servers:
+            # Heartbeats repeat what is known.
+            return []
         broken = []
         for name in servers - self._noted_crashed_servers:
             group = self._group_by_server.get(desired.BackendKey(name))
@@ -325,10 +328,6 @@
             if id(g) in kept
         }
 
-    def all(self) -> list[RankGroup]:
-        """Return all groups."""
-        return list(self._groups.values())
-
     def of_service(self, service: ids.ServiceName) -> list[RankGroup]:
         """Return the groups of a service, sorted by name."""
         found = [g for k, g in self._groups.items() if k[0] == service]
--- a/src/lugcross/edge/request_forwarder.py
+++ b/src/lugcross/edge/request_forwarder.py
@@ -22,7 +22,6 @@
 from lugcross.edge import request_errors
 from lugcross.edge import retry_policy
 from lugcross import http1
-from lugcross import urgency
 
 _MS = datetime.timedelta(milliseconds=1)
 
@@ -60,8 +59,8 @@
         #: When the last attempt was started.
         self._attempt_sent_at = checked.req.received_at
         #: Number of its urgency at the service, None if it has only one.
-        self._urgency_number = urgency.request_priority(
-            checked.urgency, edge_state.urgencies(checked.service)
+        self._urgency_number = edge_state.urgency_number(
+            checked.service, checked.urgency
         )
         self._state = retry_policy.RequestState(
             repeatable=checked.route.repeatable,
--- a/src/lugcross/edge/request_handler.py
+++ b/src/lugcross/edge/request_handler.py
@@ -18,7 +18,6 @@
 from lugcross import http1
 from lugcross import ids
 from lugcross import platform
-from lugcross import urgency
 
 _MS = datetime.timedelta(milliseconds=1)
 
@@ -186,9 +185,7 @@
     ) -> dict[str, object]:
         """Return the urgency and what is open to it, as log fields."""
         service = checked.service
-        number = urgency.request_priority(
-            checked.urgency, self._edge_state.urgencies(service)
-        )
+        number = self._edge_state.urgency_number(service, checked.urgency)
         if number is None:
             return {}
         per_server = self._edge_state.max_requests_per_server(
--- a/src/lugcross/edge/unreachable_ranks.py
+++ b/src/lugcross/edge/unreachable_ranks.py
@@ -68,5 +68,4 @@
 def _groups_of(
     groups: rank_groups.RankGroups, backends: Sequence[desired.Backend]
 ) -> list[rank_groups.RankGroup]:
-    services = {one.service for one in backends[:1]}
-    return [one for one in groups.all() if one.service in services]
+    return groups.of_service(backends[0].service) if backends else []
--- a/src/lugcross/urgency/ordering.py
+++ b/src/lugcross/urgency/ordering.py
@@ -7,7 +7,7 @@
 from typing import NamedTuple
 from typing import Self
 
-#: Highest number of ``Request-Priority``, the least urgent.
+#: Highest number that an engine is told, the least urgent.
 _MAX_REQUEST_PRIORITY_LEVEL = 9
 
 
