Name the prompt parts of requests in the log of a crash

Change: the ids of all parts but the last are read from the request, 64 at most, and stand in the log line of a crash with the time since the answer's first event. No decision reads them yet.

--- a/src/lugcross/edge/attempt.py
+++ b/src/lugcross/edge/attempt.py
@@ -48,6 +48,7 @@
         it would be blamed for a crash without having run.
     :ivar connection_lost: whether the server or its host closed the
         connection before the response was complete.
+    :ivar first_event_at: when the first event of a stream arrived, if any.
     """
 
     def __init__(
@@ -74,6 +75,7 @@
         self._health_reported = False
         self._sent_at = clock.monotonic()
         self.connection_lost = False
+        self.first_event_at: clock_lib.Instant | None = None
 
     async def run(self) -> retry_policy.AttemptOutcome | None:
         """Send the request and forward the response.
@@ -363,6 +365,8 @@
         self, previous_at: clock_lib.Instant | None
     ) -> clock_lib.Instant:
         now = self._clock.monotonic()
+        if self.first_event_at is None:
+            self.first_event_at = now
         limit = self._checked.route.max_event_gap
         if previous_at is not None and limit is not None:
             self._edge_state.observe_event_gap(
--- a/src/lugcross/edge/crash_tracker.py
+++ b/src/lugcross/edge/crash_tracker.py
@@ -25,6 +25,9 @@
 #: host normally answers within a round trip, or within 0.2 s after a lost
 #: packet.
 _PROBE_TIMEOUT_S = 0.3
+#: Prompt parts named in one log line.
+_MAX_PARTS_LOGGED = 8
+_MS = datetime.timedelta(milliseconds=1)
 
 
 @final
@@ -198,6 +201,8 @@
         checked: checked_request.CheckedRequest,
         backend: desired.Backend,
         sent_at: clock_lib.Instant,
+        *,
+        first_event_at: clock_lib.Instant | None = None,
     ) -> None:
         """Find out whether the server crashed, and record it if so.
 
@@ -206,9 +211,11 @@
 
         :param sent_at: when the attempt was sent. If the server had crashed
             before that, the request never ran there.
+        :param first_event_at: when the first event of its answer arrived, if
+            any.
         """
         task = asyncio.create_task(
-            self._check_for_crash(checked, backend, sent_at)
+            self._check_for_crash(checked, backend, sent_at, first_event_at)
         )
         self._pending_checks.add(task)
         task.add_done_callback(self._pending_checks.discard)
@@ -219,6 +226,7 @@
         checked: checked_request.CheckedRequest,
         backend: desired.Backend,
         sent_at: clock_lib.Instant,
+        first_event_at: clock_lib.Instant | None,
     ) -> None:
         if not await self._has_crashed(backend):
             return
@@ -242,6 +250,10 @@
                     crash.server for crash in self.counted_crashes(checked)
                 ],
                 "standing": status.value,
+                "parts": checked.caller_head.shared_parts[:_MAX_PARTS_LOGGED],
+                "wrote_ms": None
+                if first_event_at is None
+                else round((now - first_event_at) / _MS),
             },
         )
         self.on_change()
--- a/src/lugcross/edge/request_forwarder.py
+++ b/src/lugcross/edge/request_forwarder.py
@@ -53,6 +53,8 @@
         self._tried_backends: set[desired.BackendKey] = set()
         #: Whether the server of the last attempt closed the connection.
         self._connection_lost = False
+        #: When the first event of the last attempt arrived, if any.
+        self._first_event_at: clock_lib.Instant | None = None
         #: Why admission refused the request, if it is sent to a spare server
         #: all the same.
         self._not_admitted_reason: str | None = None
@@ -273,6 +275,7 @@
         finally:
             self._on_change()
         self._connection_lost = attempt.connection_lost
+        self._first_event_at = attempt.first_event_at
         if outcome in (None, retry_policy.AttemptOutcome.FAILED):
             self._edge_state.crash_tracker.record_completion(
                 self._checked, backend, self._attempt_sent_at
@@ -295,7 +298,10 @@
             and self._connection_lost
         ):
             await self._edge_state.crash_tracker.record_broken_attempt(
-                self._checked, backend, self._attempt_sent_at
+                self._checked,
+                backend,
+                self._attempt_sent_at,
+                first_event_at=self._first_event_at,
             )
 
     def _may_resend(self) -> bool:
--- a/src/lugcross/platform/caller_headers.py
+++ b/src/lugcross/platform/caller_headers.py
@@ -12,6 +12,12 @@
 
 _RawHeaders = Iterable[tuple[bytes, bytes]]
 
+#: Shared parts of a prompt that are taken from a request; further ones are
+#: ignored.
+MAX_SHARED_PARTS = 64
+#: Longest id of a part in characters; longer ones are ignored.
+_MAX_PART_ID_CHARS = 64
+
 
 @final
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -27,6 +33,9 @@
     :param max_tokens: limit of generated tokens; 0 if not sent.
     :param expected_tokens: the caller's estimate of the number of generated
         tokens; 0 if not sent.
+    :param shared_parts: ids of the parts of the prompt that other requests
+        may share, in order and each once, :data:`MAX_SHARED_PARTS` at most.
+        The last part of a prompt is never one of them.
     """
 
     attempt_id: str = ""
@@ -36,6 +45,7 @@
     prompt_tokens: int = 0
     max_tokens: int = 0
     expected_tokens: int = 0
+    shared_parts: tuple[str, ...] = ()
 
 
 def parse_caller_request_head(headers: _RawHeaders) -> CallerRequestHead:
@@ -65,6 +75,23 @@
         max_tokens=_parse_int(tokens[2], header_names.TOKEN_COUNTS) or 0,
         expected_tokens=_parse_header_int(values, header_names.LENGTH_HINT)
         or 0,
+        shared_parts=_parse_shared_parts(
+            header_names.header_text(values, header_names.PROMPT_PREFIX)
+        ),
+    )
+
+
+def _parse_shared_parts(text: str) -> tuple[str, ...]:
+    """Return the ids of all parts of a prompt but the last.
+
+    Parts without an id or with a very long one are left out.
+    """
+    parts = text.split(",", MAX_SHARED_PARTS)
+    names = (one.partition(":")[0].strip().lower() for one in parts[:-1])
+    return tuple(
+        dict.fromkeys(
+            name for name in names if 0 < len(name) <= _MAX_PART_ID_CHARS
+        )
     )
 
 
--- a/src/lugcross/platform/header_names.py
+++ b/src/lugcross/platform/header_names.py
@@ -24,6 +24,9 @@
 LAST_EVENT_ID = b"Last-Event-Id"
 #: Prompt tokens and the limit of generated tokens, separated by a comma.
 TOKEN_COUNTS = b"Token-Counts"
+#: Parts of the prompt in order, as ID:TOKENS separated by commas. The last one
+#: belongs to the request or its session; others may be in many requests.
+PROMPT_PREFIX = b"Prompt-Prefix"
 #: The caller's estimate of the number of generated tokens.
 LENGTH_HINT = b"Length-Hint"
 #: A backend server's signature of its response.
--- a/testing/edge/test_crash_tracker.py
+++ b/testing/edge/test_crash_tracker.py
@@ -94,6 +94,26 @@
     assert _counted_crashes(one) == [0]
 
 
+def test_log_of_a_crash_names_the_prompt_parts_of_the_request(caplog):
+    async def main() -> None:
+        one = rig.Rig(clock_lib.ManualClock())
+        servers = _CrashingServers(one, 1)
+        await one.start(*([servers.script(num)] for num in range(2)))
+        one.adopt(rig.SAFE_ROUTE)
+        await one.ask(b"Prompt-Prefix: a1:40,b2:7,c3:9")
+        one.close()
+
+    with caplog.at_level("WARNING"):
+        asyncio.run(main())
+    crashes = [
+        one
+        for one in caplog.records
+        if one.getMessage() == "server crashed while running a request"
+    ]
+    assert [one.parts for one in crashes] == [("a1", "b2")]
+    assert [one.wrote_ms for one in crashes] == [None]
+
+
 def test_reset_by_a_live_server_does_not_count():
     async def resets(seen, writer):
         del seen
