Reproduce crashes under one prompt part, known to fail

What callers saw: servers crash one after the other under requests that share a prompt part, and sound requests with the same caller and first part are not served.

--- a/testing/support/crash_rig.py
+++ b/testing/support/crash_rig.py
@@ -42,7 +42,7 @@
 _RETRY_DELAY_RANGE_S = (0.2, 1.0)
 #: Name of the edge process that handles the request of the current task.
 current_node = contextvars.ContextVar("node", default="")
-_KEYS = ("key-a", "key-b", "key-c")
+KEYS = ("key-a", "key-b", "key-c")
 
 
 def _desired(attempts: int, service: dict[str, object]) -> bytes:
@@ -60,7 +60,7 @@
         "attempts": attempts,
         "priority": 1,
     }
-    tenants = [{"name": f"w-{key}", "api_keys": [key]} for key in _KEYS]
+    tenants = [{"name": f"w-{key}", "api_keys": [key]} for key in KEYS]
     return json.dumps(
         {
             "version": 1,
@@ -117,12 +117,14 @@
     :param at: virtual time, in seconds.
     :param node: edge process that sent it.
     :param server: id of the server's life.
+    :param parts: parts of its prompt that other requests may share.
     """
 
     at: float
     body: bytes
     node: str
     server: str
+    parts: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass
@@ -133,10 +135,14 @@
     :param body: body of the request.
     :param text: body of the answer.
     :param headers: its headers.
+    :param node: edge process that was asked.
+    :param parts: parts of its prompt that other requests may share.
     """
 
     at: float
     body: bytes
+    node: str = ""
+    parts: tuple[str, ...] = ()
     status: int = 0
     text: bytes = b""
     headers: dict[bytes, bytes] = dataclasses.field(default_factory=dict)
@@ -161,6 +167,8 @@
         del method, target
         self._headers = {name.lower(): value for name, value in headers}
         self._body = body
+        prompt = self._headers.get(b"prompt-prefix", b"").decode().split(",")
+        self._parts = tuple(one.partition(":")[0] for one in prompt[:-1])
 
     async def read_head(self) -> http1.ResponseHead:
         await asyncio.sleep(LATENCY_S)
@@ -178,14 +186,16 @@
             return self._turn_away(None)
         if server.running >= server.slots:
             return self._turn_away(server.backoff_when_full_s)
-        self._fleet.record_send(self._body, server)
+        self._fleet.record_send(self._body, server, self._parts)
         crashed = server.crashed
         server.running += 1
+        crashing = self._fleet.is_crashing(self._body, self._parts)
+        run_s = CRASH_AFTER_S if crashing else self._fleet.run_s(self._body)
         try:
-            async with asyncio.timeout(self._fleet.run_s(self._body)):
+            async with asyncio.timeout(run_s):
                 await crashed.wait()
         except TimeoutError:
-            if self._fleet.is_crashing(self._body):
+            if crashing:
                 self._fleet.crash(server)
         finally:
             server.running -= 1
@@ -247,6 +257,8 @@
     """Edge processes and the servers behind them.
 
     :ivar crashing_bodies: bodies of the requests that crash servers.
+    :ivar crashing_parts: parts of prompts that crash servers.
+    :ivar crash_ratio: fraction of the runs with such a part that do.
     :ivar rng: draws the load; each test may draw from it too.
     :ivar refusal_rng: draws which requests a server with a refused ratio
         refuses, so that the load does not depend on it.
@@ -270,6 +282,8 @@
         super().__init__(monkeypatch, *domains)
         self._server_domains = server_domains
         self.crashing_bodies: set[bytes] = set()
+        self.crashing_parts: set[str] = set()
+        self.crash_ratio = 1.0
         self.sends: list[Send] = []
         self.refusals: list[Send] = []
         self.limited: list[Send] = []
@@ -280,6 +294,7 @@
         self._tasks: dict[str, set[asyncio.Task[Answer]]] = {}
         self.rng = random.Random(seed)
         self.refusal_rng = random.Random(seed)
+        self._crash_rng = random.Random(seed)
         self.servers = [Server(index) for index in range(servers)]
         self._by_host = {one.host: one for one in self.servers}
         monkeypatch.setattr(http1, "connect", self._connect)
@@ -361,18 +376,28 @@
         for name in list(self.nodes):
             await self.restart(name)
 
-    def is_crashing(self, body: bytes) -> bool:
-        """Return whether a request crashes servers."""
-        return body in self.crashing_bodies
+    def is_crashing(self, body: bytes, parts: tuple[str, ...]) -> bool:
+        """Return whether this run of a request crashes its server."""
+        if body in self.crashing_bodies:
+            return True
+        return (
+            not self.crashing_parts.isdisjoint(parts)
+            and self._crash_rng.random() < self.crash_ratio
+        )
 
     def run_s(self, body: bytes) -> float:
-        """Return the run time of a request."""
-        return CRASH_AFTER_S if self.is_crashing(body) else REQUEST_S
+        """Return the run time of a request that crashes no server."""
+        del body
+        return REQUEST_S
 
-    def record_send(self, body: bytes, server: Server) -> None:
+    def record_send(
+        self, body: bytes, server: Server, parts: tuple[str, ...]
+    ) -> None:
         """Record that a server has started to run a request."""
         now = asyncio.get_running_loop().time()
-        self.sends.append(Send(now, body, current_node.get(), server.name))
+        self.sends.append(
+            Send(now, body, current_node.get(), server.name, parts)
+        )
 
     def record_limited(self, body: bytes, server: Server) -> None:
         """Record that a request reached a server that states a limit."""
@@ -394,14 +419,26 @@
             raise http1.NoConnectionError("refused", remedy="-") from refused
         return FakeConn(self, server)
 
-    def ask(self, node: str, body: bytes, key: str = _KEYS[0]) -> None:
-        """Start a request to an edge process; see :attr:`answers`."""
-        task = asyncio.create_task(self._run_request(node, body, key))
+    def ask(
+        self,
+        node: str,
+        body: bytes,
+        key: str = KEYS[0],
+        *,
+        prompt: str = "",
+    ) -> None:
+        """Start a request to an edge process; see :attr:`answers`.
+
+        :param prompt: parts of its prompt, each with its tokens, as sent.
+        """
+        task = asyncio.create_task(self._run_request(node, body, key, prompt))
         tasks = self._tasks.setdefault(node, set())
         tasks.add(task)
         task.add_done_callback(tasks.discard)
 
-    async def _run_request(self, name: str, body: bytes, key: str) -> Answer:
+    async def _run_request(
+        self, name: str, body: bytes, key: str, prompt: str = ""
+    ) -> Answer:
         clock = virtual_time.LoopClock()
         current_node.set(name)
         node = self.nodes[name]
@@ -411,6 +448,8 @@
             (b"time-remaining", b"8000"),
             (b"x-api-key", key.encode()),
         ]
+        if prompt:
+            headers.append((b"prompt-prefix", prompt.encode()))
         req = http1.Request(
             method=b"POST",
             target=b"/r/x",
@@ -419,7 +458,8 @@
             body=body,
             received_at=clock.monotonic(),
         )
-        answer = Answer(asyncio.get_running_loop().time(), body)
+        parts = tuple(one.partition(":")[0] for one in prompt.split(",")[:-1])
+        answer = Answer(asyncio.get_running_loop().time(), body, name, parts)
         handler = request_handler.RequestHandler(
             node.edge_state,
             is_stopping=lambda: False,
@@ -432,11 +472,11 @@
         return answer
 
     async def _send_until_served(
-        self, name: str, body: bytes, key: str
+        self, name: str, body: bytes, key: str, prompt: str = ""
     ) -> None:
         """Act as a caller that retries a request until it is served."""
         for _ in range(_MAX_CALLER_ATTEMPTS):
-            answer = await self._run_request(name, body, key)
+            answer = await self._run_request(name, body, key, prompt)
             if answer.status == http.HTTPStatus.OK:
                 return
             await asyncio.sleep(self.rng.uniform(*_RETRY_DELAY_RANGE_S))
@@ -446,13 +486,24 @@
         """Send ordinary requests to random processes until cancelled."""
         for num in itertools.count():
             await asyncio.sleep(self.rng.expovariate(per_s))
-            name = self.rng.choice(list(self.nodes))
-            key = self.rng.choice(_KEYS)
-            task = asyncio.create_task(
-                self._send_until_served(name, b"ordinary %d" % num, key)
+            self.start_caller(
+                self.rng.choice(list(self.nodes)),
+                b"ordinary %d" % num,
+                self.rng.choice(KEYS),
             )
-            self._ordinary.add(task)
-            task.add_done_callback(self._ordinary.discard)
+
+    def start_caller(
+        self, node: str, body: bytes, key: str, prompt: str = ""
+    ) -> None:
+        """Start a caller that retries a request until it is served.
+
+        :param prompt: parts of its prompt, each with its tokens, as sent.
+        """
+        task = asyncio.create_task(
+            self._send_until_served(node, body, key, prompt)
+        )
+        self._ordinary.add(task)
+        task.add_done_callback(self._ordinary.discard)
 
     @contextlib.contextmanager
     def under_load(self, per_s: float) -> Iterator[None]:
