Refuse requests whose prompt has a part that crashes servers

Cause: the registry knew whole requests only, body included, so each crash was the first of its request. Why this works: the parts of a prompt are suspects of the same registry, with the same reports, store records and confinement. What tells a cause from the parts that all requests have: sound runs, which every process remembers before a crash and reports with it, each make one more crash necessary; crashes under a refused suspect count against no other; suspects with the same crashes and sound runs are refused only together. An answer that has been arriving for half a second is a sound run of its parts. Whether a request may be sent is asked once more when it has its connection. Ruled out: crashes seen late (ten of ten stand in the logs).

--- a/src/lugcross/crash_suspects/assignment.py
+++ b/src/lugcross/crash_suspects/assignment.py
@@ -18,14 +18,22 @@
     request: fingerprint.Fingerprint,
     other_suspects: Collection[fingerprint.Fingerprint],
     servers: Sequence[str],
+    *,
+    stronger_suspects: Sequence[fingerprint.Fingerprint] = (),
 ) -> str | None:
     """Return the server to run a suspect on, or None if there is none.
 
     :param other_suspects: suspects of the same crashes, each of which gets a
         different server as long as there are enough.
+    :param stronger_suspects: those against which more speaks, in order. They
+        choose first, so that the server of a strong suspect does not change
+        with each report of a weaker one.
     """
     free = list(servers)
-    for suspect in sorted({*other_suspects, request}):
+    for suspect in (
+        *stronger_suspects,
+        *sorted({*other_suspects, request}),
+    ):
         server = routing.rendezvous_first(suspect.hex(), free or servers)
         if suspect == request:
             return server
--- a/src/lugcross/crash_suspects/fingerprint.py
+++ b/src/lugcross/crash_suspects/fingerprint.py
@@ -1,19 +1,20 @@
 # SPDX-License-Identifier: Apache-2.0
-"""Fingerprints that identify a request across its retries."""
+"""Fingerprints that identify a request, or a part of its prompt."""
 
 import dataclasses
 import hashlib
 from typing import final
 from typing import NewType
 
-#: Identifies a request in logs, in messages between edge processes and to
-#: operators.
+#: Identifies a request or a prompt part in logs, in messages between edge
+#: processes and to operators.
 Fingerprint = NewType("Fingerprint", bytes)
 
 #: Finding a collision takes about 2**64 attempts, and only requests of the
 #: same workspace can collide.
 FINGERPRINT_BYTES = 16
 _HASH_PERSONALIZATION = b"lugcross-request"
+_PART_HASH_PERSONALIZATION = b"lugcross-part"
 
 
 @final
@@ -61,3 +62,22 @@
             digest.update(part)
         digest.update(self.body)
         return Fingerprint(digest.digest())
+
+
+def part_fingerprint(service: str, part: str) -> Fingerprint:
+    """Return the hash of a part of the prompts for a service.
+
+    It does not depend on the workspace: a part that crashes servers does so
+    whoever sends it. No workspace can get a part of others refused alone,
+    since their sound runs count for the part.
+
+    :param part: id of the part, as callers send it.
+    """
+    digest = hashlib.blake2b(
+        digest_size=FINGERPRINT_BYTES, person=_PART_HASH_PERSONALIZATION
+    )
+    name = service.encode()
+    digest.update(len(name).to_bytes(4, "big"))
+    digest.update(name)
+    digest.update(part.encode())
+    return Fingerprint(digest.digest())
--- a/src/lugcross/edge/attempt.py
+++ b/src/lugcross/edge/attempt.py
@@ -31,6 +31,11 @@
 #: Larger responses are not joined, which copies them.
 _MAX_JOINED_BYTES = 1_048_576
 _EVENT_STREAM_TYPE = b"text/event-stream"
+#: Time for which events must arrive, and in how many reads at least, until a
+#: server that begins to write an answer has not crashed of it. A slow server
+#: writes its first events far apart.
+_SOUND_WRITING_TIME = datetime.timedelta(seconds=0.5)
+_SOUND_EVENT_READ_COUNT = 4
 
 
 class _InvalidResponseError(Exception):
@@ -43,12 +48,16 @@
 
     :param may_resend: tells whether the request may go to another server if
         this attempt breaks.
+    :param may_send: tells, once there is a connection, whether the request may
+        still go to this server.
     :param new_connection: whether to open a new connection. A crash suspect
         needs one: on an idle connection to a server that has already crashed
         it would be blamed for a crash without having run.
     :ivar connection_lost: whether the server or its host closed the
         connection before the response was complete.
     :ivar first_event_at: when the first event of a stream arrived, if any.
+    :ivar wrote_soundly: whether events have been arriving for so long that
+        the server will not crash of beginning this answer.
     """
 
     def __init__(
@@ -60,9 +69,11 @@
         caller_response: caller_response_lib.CallerResponse,
         *,
         may_resend: Callable[[], bool],
+        may_send: Callable[[], bool],
         new_connection: bool,
     ) -> None:
         self._may_resend = may_resend
+        self._may_send = may_send
         self._new_connection = new_connection
         self._edge_state = edge_state
         self._clock = clock
@@ -76,6 +87,8 @@
         self._sent_at = clock.monotonic()
         self.connection_lost = False
         self.first_event_at: clock_lib.Instant | None = None
+        self._event_reads = 0
+        self.wrote_soundly = False
 
     async def run(self) -> retry_policy.AttemptOutcome | None:
         """Send the request and forward the response.
@@ -111,10 +124,12 @@
             if (
                 edge_state.selection.is_evacuated(self._backend)
                 or edge_state.backoffs.is_active(self._backend.key)
+                or not self._may_send()
                 or not edge_state.limits.try_spend(self._backend.key)
             ):
                 # The server was evacuated, asked for a backoff or reached its
-                # limit while this attempt waited for its connection; many
+                # limit while this attempt waited for its connection, or a
+                # crash was reported that the request may have caused; many
                 # others may have waited with it.
                 edge_state.pool.release(self._backend, conn, None)
                 return retry_policy.AttemptOutcome.UNREACHED
@@ -365,8 +380,7 @@
         self, previous_at: clock_lib.Instant | None
     ) -> clock_lib.Instant:
         now = self._clock.monotonic()
-        if self.first_event_at is None:
-            self.first_event_at = now
+        self._observe_sound_writing(now)
         limit = self._checked.route.max_event_gap
         if previous_at is not None and limit is not None:
             self._edge_state.observe_event_gap(
@@ -374,6 +388,20 @@
             )
         return now
 
+    def _observe_sound_writing(self, now: clock_lib.Instant) -> None:
+        self._event_reads += 1
+        if self.first_event_at is None:
+            self.first_event_at = now
+        if (
+            not self.wrote_soundly
+            and self._event_reads >= _SOUND_EVENT_READ_COUNT
+            and now - self.first_event_at >= _SOUND_WRITING_TIME
+        ):
+            self.wrote_soundly = True
+            self._edge_state.crash_tracker.record_sound_run(
+                self._checked, self._backend
+            )
+
     def _backend_health(self) -> routing.BackendHealth:
         return self._edge_state.loads.health(self._backend.key)
 
--- a/src/lugcross/edge/caller_response.py
+++ b/src/lugcross/edge/caller_response.py
@@ -39,6 +39,11 @@
         self.in_parts = False
         self.last_event_id = checked.caller_head.last_event_id
 
+    @property
+    def success(self) -> bool:
+        """Whether a successful response has been started."""
+        return 200 <= self.status < 300
+
     @property
     def memory(self) -> http1.ResponseMemory | None:
         """Bounds what is held for the caller; None for no bound."""
--- a/src/lugcross/edge/checked_request.py
+++ b/src/lugcross/edge/checked_request.py
@@ -60,3 +60,20 @@
             target=self.req.target,
             body=self.req.body or b"",
         ).fingerprint()
+
+    @functools.cached_property
+    def parts(self) -> dict[crash_suspects.Fingerprint, str]:
+        """Ids of the prompt parts that other requests may share, by hash."""
+        return {
+            crash_suspects.part_fingerprint(self.service, part): part
+            for part in self.caller_head.shared_parts
+        }
+
+    @functools.cached_property
+    def suspects(self) -> tuple[crash_suspects.Fingerprint, ...]:
+        """All that may be the cause if this request crashes a server.
+
+        Parts come first, the most special one before the others, so that
+        different requests with the same part are tried at the same server.
+        """
+        return (*reversed(self.parts), self.fingerprint)
--- a/src/lugcross/edge/crash_tracker.py
+++ b/src/lugcross/edge/crash_tracker.py
@@ -8,9 +8,11 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Iterable
 import datetime
 import json
 from typing import final
+import zlib
 
 from absl import logging
 
@@ -28,6 +30,9 @@
 #: Prompt parts named in one log line.
 _MAX_PARTS_LOGGED = 8
 _MS = datetime.timedelta(milliseconds=1)
+_NOT_SUSPECT = crash_suspects.Assessment(
+    crash_suspects.SuspectStatus.NOT_SUSPECT
+)
 
 
 @final
@@ -57,55 +62,39 @@
         self.on_crashed_servers: Callable[[frozenset[str]], None] = (
             lambda servers: None
         )
-        #: Requests that an operator allows to run whatever they crashed.
+        #: Requests and prompt parts that an operator allows to run whatever
+        #: they crashed.
         self.exempt_requests: frozenset[crash_suspects.Fingerprint] = (
             frozenset()
         )
         #: Called when there is news to send to peers.
         self.on_change: Callable[[], None] = lambda: None
-        #: Called with each request that is to be refused from now on.
+        #: Called with each suspect that is to be refused from now on.
         self.on_refused: Callable[[crash_suspects.Fingerprint], None] = (
             lambda request: None
         )
 
-    def status(
+    def assess(
         self, checked: checked_request.CheckedRequest
-    ) -> crash_suspects.SuspectStatus:
-        """Return how to treat a request now."""
-        if (
-            not self._has_record(checked)
-            or checked.fingerprint in self.exempt_requests
-        ):
-            return crash_suspects.SuspectStatus.NOT_SUSPECT
-        return self.registry.status(
-            checked.fingerprint,
-            self._software_versions(checked.service),
-            self._clock.monotonic(),
-        )
+    ) -> crash_suspects.Assessment:
+        """Return how to treat a request now.
 
-    def counted_crashes(
-        self, checked: checked_request.CheckedRequest
-    ) -> list[crash_suspects.ServerCrash]:
-        """Return the crashes that count against a request."""
-        if not self._has_record(checked):
-            return []
-        return self.registry.counted_crashes(
-            checked.fingerprint,
+        While the registry is empty, no fingerprints are computed.
+        """
+        if not len(self.registry):
+            return _NOT_SUSPECT
+        return self.registry.assess(
+            [
+                one
+                for one in checked.suspects
+                if one not in self.exempt_requests
+            ],
             self._software_versions(checked.service),
             self._clock.monotonic(),
         )
 
-    def _has_record(self, checked: checked_request.CheckedRequest) -> bool:
-        """Return whether the registry has a record of a request.
-
-        While the registry is empty, this avoids computing fingerprints.
-        """
-        if not len(self.registry):
-            return False
-        return self.registry.find(checked.fingerprint) is not None
-
     def time_until_expiry(
-        self, crashes: list[crash_suspects.ServerCrash]
+        self, crashes: Iterable[crash_suspects.ServerCrash]
     ) -> datetime.timedelta:
         """Return the time until the oldest of ``crashes`` expires.
 
@@ -129,7 +118,8 @@
             of groups.
         :param response_started: whether the caller has part of the response.
         """
-        if self.status(checked) is crash_suspects.SuspectStatus.REFUSED:
+        found = self.assess(checked)
+        if found.status is crash_suspects.SuspectStatus.REFUSED:
             return False
         if checked.fingerprint in self.exempt_requests:
             return True
@@ -144,10 +134,7 @@
             if within_rank_group and not response_started
             else crash_suspects.CRASHES_TO_LEAVE_TO_CALLER
         )
-        return (
-            not last_attempt_broke
-            or len(self.counted_crashes(checked)) < limit
-        )
+        return not last_attempt_broke or len(found.crashes) < limit
 
     def note_broken_groups(
         self, servers: frozenset[desired.BackendKey]
@@ -174,7 +161,7 @@
             Such a request goes on in another group after its first crash, for
             the reason given in :meth:`may_retry`.
         """
-        crashes = self.counted_crashes(checked)
+        crashes = self.assess(checked).crashes
         if (
             response_started
             and len(crashes) < crash_suspects.CRASHES_TO_LEAVE_TO_CALLER
@@ -188,12 +175,8 @@
         servers: list[desired.BackendKey],
     ) -> desired.BackendKey | None:
         """Return the server to run a suspect on, or None if there is none."""
-        other_suspects = self.registry.suspects_sharing_crashes(
-            checked.fingerprint
-        )
-        server = crash_suspects.assign_server(
-            checked.fingerprint, other_suspects, servers
-        )
+        suspect = self.assess(checked).suspect or checked.fingerprint
+        server = self.registry.assign_server(suspect, servers)
         return None if server is None else desired.BackendKey(server)
 
     async def record_broken_attempt(
@@ -203,6 +186,7 @@
         sent_at: clock_lib.Instant,
         *,
         first_event_at: clock_lib.Instant | None = None,
+        wrote_soundly: bool = False,
     ) -> None:
         """Find out whether the server crashed, and record it if so.
 
@@ -213,9 +197,17 @@
             before that, the request never ran there.
         :param first_event_at: when the first event of its answer arrived, if
             any.
+        :param wrote_soundly: whether it had been arriving for so long that no
+            part of the prompt can be the cause.
         """
         task = asyncio.create_task(
-            self._check_for_crash(checked, backend, sent_at, first_event_at)
+            self._check_for_crash(
+                checked,
+                backend,
+                sent_at,
+                first_event_at=first_event_at,
+                wrote_soundly=wrote_soundly,
+            )
         )
         self._pending_checks.add(task)
         task.add_done_callback(self._pending_checks.discard)
@@ -226,7 +218,9 @@
         checked: checked_request.CheckedRequest,
         backend: desired.Backend,
         sent_at: clock_lib.Instant,
+        *,
         first_event_at: clock_lib.Instant | None,
+        wrote_soundly: bool,
     ) -> None:
         if not await self._has_crashed(backend):
             return
@@ -236,9 +230,16 @@
         crash = crash_suspects.ServerCrash(
             backend.key, backend.software_version, now, now - sent_at
         )
-        if not self.registry.record_crash(checked.fingerprint, crash, now):
+        # A part that crashes servers does so when they begin to write.
+        suspects = (
+            (checked.fingerprint,) if wrote_soundly else checked.suspects
+        )
+        news = [
+            self.registry.record_crash(one, crash, now) for one in suspects
+        ]
+        if not any(news):
             return
-        status = self.status(checked)
+        found = self.assess(checked)
         logging.warning(
             "server crashed while running a request",
             extra={
@@ -246,10 +247,12 @@
                 "same": checked.fingerprint.hex(),
                 "service": checked.service,
                 "backend": backend.key,
-                "ends": [
-                    crash.server for crash in self.counted_crashes(checked)
-                ],
-                "standing": status.value,
+                "ends": [crash.server for crash in found.crashes],
+                "standing": found.status.value,
+                "suspect": found.suspect.hex() if found.suspect else None,
+                "part": checked.parts.get(found.suspect)
+                if found.suspect
+                else None,
                 "parts": checked.caller_head.shared_parts[:_MAX_PARTS_LOGGED],
                 "wrote_ms": None
                 if first_event_at is None
@@ -258,8 +261,11 @@
         )
         self.on_change()
         self.on_crashed_servers(self.registry.crashed_servers())
-        if status is crash_suspects.SuspectStatus.REFUSED:
-            self.on_refused(checked.fingerprint)
+        if (
+            found.status is crash_suspects.SuspectStatus.REFUSED
+            and found.suspect is not None
+        ):
+            self.on_refused(found.suspect)
 
     async def _has_crashed(self, backend: desired.Backend) -> bool:
         """Probe a server; concurrent callers share one probe."""
@@ -302,6 +308,26 @@
         )
         self.on_change()
 
+    def record_sound_run(
+        self, checked: checked_request.CheckedRequest, backend: desired.Backend
+    ) -> None:
+        """Record that a server writes, or wrote, an answer without a crash.
+
+        May be called more than once for one attempt.
+        """
+        now = self._clock.monotonic()
+        run = crash_suspects.SoundRun(
+            zlib.crc32(checked.caller_head.attempt_id.encode()),
+            backend.software_version,
+            now,
+        )
+        news = [
+            self.registry.record_sound_run(part, run, now)
+            for part in checked.parts
+        ]
+        if any(news):
+            self.on_change()
+
     def drop_expired(self) -> None:
         """Drop crashes older than :data:`crash_suspects.SUSPICION_TTL`."""
         now = self._clock.monotonic()
@@ -316,7 +342,7 @@
         now = self._clock.monotonic()
         rows = [
             {
-                "same": record.request.hex(),
+                "same": record.suspect.hex(),
                 "ends": [
                     {
                         "backend": crash.server,
@@ -327,7 +353,8 @@
                     }
                     for crash in record.crashes_since_cleared
                 ],
-                "exempt": record.request in self.exempt_requests,
+                "sound_runs": len(record.sound_runs),
+                "exempt": record.suspect in self.exempt_requests,
             }
             for record in self.registry.records()
             if record.crashes_since_cleared
--- a/src/lugcross/edge/messages.py
+++ b/src/lugcross/edge/messages.py
@@ -53,22 +53,41 @@
     ran_for_ms: Annotated[int, msgspec.Meta(ge=0, le=MAX_CRASH_AGE_MS)]
 
 
+@final
+class SoundRun(msgspec.Struct, frozen=True, array_like=True):
+    """A run of a prompt part that crashed no backend server.
+
+    :param run_id: the same in the reports of all processes.
+    :param software: version of the software of the backend server.
+    :param age_ms: time since then, in milliseconds.
+    """
+
+    run_id: Annotated[int, msgspec.Meta(ge=0, lt=2**32)]
+    software: _Name
+    age_ms: Annotated[int, msgspec.Meta(ge=0, le=MAX_CRASH_AGE_MS)]
+
+
 @final
 class Suspect(msgspec.Struct, frozen=True, array_like=True):
     """Evidence about one crash suspect.
 
-    :param request: fingerprint of the request.
+    :param suspect: fingerprint of the request or the prompt part.
     :param crashes: crashes of backend servers while they ran it.
     :param cleared_age_ms: milliseconds since it last ran to completion;
         negative if it never has.
+    :param sound_runs: runs of the prompt part that crashed no server.
     """
 
-    request: _FingerprintBytes
+    suspect: _FingerprintBytes
     crashes: Annotated[
         list[ServerCrash],
         msgspec.Meta(max_length=crash_suspects.MAX_CRASHES_KEPT),
     ]
     cleared_age_ms: _CrashAgeMs = -1
+    sound_runs: Annotated[
+        list[SoundRun],
+        msgspec.Meta(max_length=crash_suspects.MAX_SOUND_RUNS_KEPT),
+    ] = []
 
 
 #: Longest reported age of a refusal or an accepted request; an older one has
--- a/src/lugcross/edge/request_errors.py
+++ b/src/lugcross/edge/request_errors.py
@@ -151,13 +151,23 @@
 
 
 def crash_suspect(
-    crash_count: int, retry_after: datetime.timedelta
+    crash_count: int, retry_after: datetime.timedelta, *, part: str | None
 ) -> RequestError:
-    """Return the refusal of a request that has crashed backend servers.
+    """Return the refusal of a request that may crash backend servers.
 
     :param crash_count: servers that crashed while they ran it.
     :param retry_after: time until the suspicion expires.
+    :param part: the part of its prompt that crashed them; None if only this
+        request did.
     """
+    if part is not None:
+        return RequestError(
+            http.HTTPStatus.SERVICE_UNAVAILABLE,
+            f"{crash_count} backend servers have ended while they ran "
+            f"requests with part {part!r} of this prompt",
+            remedy="leave out that part, or ask the operator to clear it",
+            retry_after=retry_after,
+        )
     return RequestError(
         http.HTTPStatus.SERVICE_UNAVAILABLE,
         f"{crash_count} backend servers have ended while they ran this "
--- a/src/lugcross/edge/request_forwarder.py
+++ b/src/lugcross/edge/request_forwarder.py
@@ -55,6 +55,8 @@
         self._connection_lost = False
         #: When the first event of the last attempt arrived, if any.
         self._first_event_at: clock_lib.Instant | None = None
+        #: Whether the last attempt's server wrote for long without a crash.
+        self._wrote_soundly = False
         #: Why admission refused the request, if it is sent to a spare server
         #: all the same.
         self._not_admitted_reason: str | None = None
@@ -137,15 +139,17 @@
         take down a service by its caller's retries.
         """
         tracker = self._edge_state.crash_tracker
+        found = tracker.assess(self._checked)
         if (
-            tracker.status(self._checked)
-            is not crash_suspects.SuspectStatus.REFUSED
+            found.status is not crash_suspects.SuspectStatus.REFUSED
+            or found.suspect is None
         ):
             return
-        crashes = tracker.counted_crashes(self._checked)
         self._edge_state.metrics.count_suspect_refused(self._checked.service)
         raise request_errors.crash_suspect(
-            len(crashes), tracker.time_until_expiry(crashes)
+            len(found.crashes),
+            tracker.time_until_expiry(found.crashes),
+            part=self._checked.parts.get(found.suspect),
         )
 
     def _refusal_reason(
@@ -259,6 +263,7 @@
     async def _send(
         self, backend: desired.Backend
     ) -> retry_policy.AttemptOutcome | None:
+        is_suspect = self._is_suspect()
         attempt = attempt_lib.Attempt(
             self._edge_state,
             self._clock,
@@ -266,7 +271,8 @@
             backend,
             self._caller_response,
             may_resend=self._may_resend,
-            new_connection=self._is_suspect(),
+            may_send=lambda: self._may_send(is_suspect=is_suspect),
+            new_connection=is_suspect,
         )
         self._on_change()
         self._attempt_sent_at = self._clock.monotonic()
@@ -276,6 +282,11 @@
             self._on_change()
         self._connection_lost = attempt.connection_lost
         self._first_event_at = attempt.first_event_at
+        self._wrote_soundly = attempt.wrote_soundly
+        if outcome is None and self._caller_response.success:
+            self._edge_state.crash_tracker.record_sound_run(
+                self._checked, backend
+            )
         if outcome in (None, retry_policy.AttemptOutcome.FAILED):
             self._edge_state.crash_tracker.record_completion(
                 self._checked, backend, self._attempt_sent_at
@@ -302,8 +313,22 @@
                 backend,
                 self._attempt_sent_at,
                 first_event_at=self._first_event_at,
+                wrote_soundly=self._wrote_soundly,
             )
 
+    def _may_send(self, *, is_suspect: bool) -> bool:
+        """Return whether the request may still go to the chosen server.
+
+        It may have become a suspect while it waited for its connection. A
+        suspect goes to another server, and a refused one to none.
+
+        :param is_suspect: whether it was one when the server was chosen.
+        """
+        status = self._edge_state.crash_tracker.assess(self._checked).status
+        if status is crash_suspects.SuspectStatus.SUSPECT:
+            return is_suspect
+        return status is crash_suspects.SuspectStatus.NOT_SUSPECT
+
     def _may_resend(self) -> bool:
         """Return whether the request may be retried if this attempt breaks."""
         broken = retry_policy.state_after(
@@ -375,7 +400,7 @@
         )
 
     def _is_suspect(self) -> bool:
-        status = self._edge_state.crash_tracker.status(self._checked)
+        status = self._edge_state.crash_tracker.assess(self._checked).status
         return status is crash_suspects.SuspectStatus.SUSPECT
 
     async def _finish_unanswered(
@@ -389,6 +414,7 @@
                 "the backend server broke off its answer"
             )
         elif action is retry_policy.Action.REFUSE:
+            self._refuse_crash_suspect()
             if self._edge_state.selection.all_evacuated(self._checked.service):
                 raise request_errors.all_evacuated(self._time_left())
             limited = self._all_limited_error()
--- a/src/lugcross/edge/suspect_gossip.py
+++ b/src/lugcross/edge/suspect_gossip.py
@@ -1,14 +1,14 @@
 # SPDX-License-Identifier: Apache-2.0
 """Exchange of crash suspects between edge processes, in heartbeats.
 
-A record that has changed goes with each heartbeat for a while, so that a few
-lost datagrams do no harm. Records that may get a request refused are also
-repeated in rotation, a few with each heartbeat, for processes that have just
-started or were unreachable.
+Of the records that have changed lately, those against which most speaks go
+with each heartbeat for a while, so that a few lost datagrams do no harm, and
+the others in rotation: a crash makes a record of all that ran on the server.
+Records that may get a request refused are also repeated in rotation, a few
+with each heartbeat, for processes that have just started or were unreachable.
 """
 
 import datetime
-import itertools
 from typing import final
 
 from lugcross import clock as clock_lib
@@ -18,9 +18,11 @@
 #: How long a record goes with each heartbeat after it has changed: several
 #: heartbeats, and well within the time in which all processes must know it.
 _CHANGED_RECORD_PERIOD = datetime.timedelta(seconds=2)
-#: Changed records in one heartbeat: usually enough for all requests that ran
-#: at one server when it crashed. Each takes about 60 bytes.
-_MAX_CHANGED_RECORDS = 8
+#: Changed records that go with each heartbeat. Each takes about 60 bytes.
+_MAX_STRONGEST_RECORDS = 8
+#: Further changed records in one heartbeat: in all usually enough for the
+#: requests that ran at one server when it crashed, with their prompt parts.
+_MAX_FURTHER_RECORDS = 8
 #: Other records in one heartbeat: twenty refused requests are repeated within
 #: five seconds at the slowest rate of heartbeats.
 _MAX_ROTATED_RECORDS = 2
@@ -36,7 +38,7 @@
     ) -> None:
         self._registry = registry
         self._clock = clock
-        self._rotation_start = 0
+        self._heartbeats = 0
 
     def next_suspects(self) -> list[messages.Suspect]:
         """Return the suspects to send with the next heartbeat."""
@@ -48,21 +50,30 @@
             one
             for one in records
             if now - one.changed_at < _CHANGED_RECORD_PERIOD
-        ][:_MAX_CHANGED_RECORDS]
+        ]
+        changed.sort(key=lambda one: one.weight, reverse=True)
         refusable = [
             one
             for one in records
-            if one not in changed
+            if now - one.changed_at >= _CHANGED_RECORD_PERIOD
             and len(one.crashes_since_cleared)
             >= crash_suspects.CRASHES_TO_LEAVE_TO_CALLER
         ]
-        start = self._rotation_start % len(refusable) if refusable else 0
-        self._rotation_start = start + _MAX_ROTATED_RECORDS
-        rotated = itertools.islice(
-            itertools.cycle(refusable), start, start + _MAX_ROTATED_RECORDS
-        )
-        selected = {one.request: one for one in [*changed, *rotated]}
-        return [to_message(one, now) for one in selected.values()]
+        self._heartbeats += 1
+        selected = [
+            *changed[:_MAX_STRONGEST_RECORDS],
+            *_rotate(
+                changed[_MAX_STRONGEST_RECORDS:],
+                self._heartbeats * _MAX_FURTHER_RECORDS,
+                _MAX_FURTHER_RECORDS,
+            ),
+            *_rotate(
+                refusable,
+                self._heartbeats * _MAX_ROTATED_RECORDS,
+                _MAX_ROTATED_RECORDS,
+            ),
+        ]
+        return [to_message(one, now) for one in selected]
 
     def merge(self, suspects: list[messages.Suspect]) -> None:
         """Merge the suspects of a peer's heartbeat into the registry."""
@@ -71,14 +82,31 @@
             self._registry.merge(from_message(one, now), now)
 
 
+def _rotate(
+    records: list[crash_suspects.SuspectRecord], start: int, count: int
+) -> list[crash_suspects.SuspectRecord]:
+    """Return up to ``count`` records from ``start`` on, cyclically."""
+    if not records:
+        return []
+    first = start % len(records)
+    turned = records[first:] + records[:first]
+    return turned[:count]
+
+
 def to_message(
     record: crash_suspects.SuspectRecord, now: clock_lib.Instant
 ) -> messages.Suspect:
     """Return the message for a record, with ages as of ``now``."""
     return messages.Suspect(
-        record.request,
+        record.suspect,
         [_to_server_crash(one, now) for one in record.crashes],
         -1 if record.cleared_at is None else _age_ms(record.cleared_at, now),
+        [
+            messages.SoundRun(
+                one.run_id, one.software, _age_ms(one.observed_at, now)
+            )
+            for one in record.sound_runs
+        ],
     )
 
 
@@ -100,8 +128,17 @@
         if message.cleared_age_ms < 0
         else now - message.cleared_age_ms * _MS
     )
+    sound_runs = tuple(
+        crash_suspects.SoundRun(
+            one.run_id, one.software, now - one.age_ms * _MS
+        )
+        for one in message.sound_runs
+    )
     return crash_suspects.SuspectRecord(
-        crash_suspects.Fingerprint(message.request), crashes, cleared
+        crash_suspects.Fingerprint(message.suspect),
+        crashes,
+        cleared,
+        sound_runs,
     )
 
 
--- a/src/lugcross/edge/suspect_store.py
+++ b/src/lugcross/edge/suspect_store.py
@@ -73,7 +73,7 @@
                 >= crash_suspects.CRASHES_TO_REFUSE
             )
             if refusable and record.changed_at >= since:
-                self.save(record.request)
+                self.save(record.suspect)
 
     async def run(self) -> None:
         """Read the stored suspects, then write new ones until cancelled."""
--- a/testing/edge/test_crashing_prompt_parts.py
+++ b/testing/edge/test_crashing_prompt_parts.py
@@ -9,7 +9,6 @@
 import itertools
 
 import crash_part_scenario
-import crash_scenario
 
 #: Requests a second with the part that crashes servers.
 RATES_PER_S = (0.7, 3.0, 12.0)
