Let the suspect with most crashes explain those of others

Cause: an innocent request without any sound run was judged before the part, which had one, and took the crashes that it shared with it. A run that another crash ended within the part's spread its run times besides. Change: suspects are judged by their crashes first, then by their sound runs, and the spread of run times is taken over the crashes that count.

--- a/src/lugcross/crash_suspects/assessment.py
+++ b/src/lugcross/crash_suspects/assessment.py
@@ -228,16 +228,15 @@
     ) -> int:
         """Return the crashes after which to refuse, without sound runs."""
         others = self._unrelated_crashed_servers(found) - set(explained)
-        run_times = [crash.ran_for for crash in found.crashes]
         if (
             not others
             and len(found.crashes) >= CRASHES_TO_REFUSE
-            and max(run_times) - min(run_times) <= RUN_TIME_TOLERANCE
+            and _spread(found.crashes) <= RUN_TIME_TOLERANCE
         ):
             return CRASHES_TO_REFUSE_IF_COPIES_AGREE
         if (
             len(others) > len(found.sequential)
-            or max(run_times) - min(run_times) > MAX_RUN_TIME_SPREAD
+            or _spread(found.sequential) > MAX_RUN_TIME_SPREAD
         ):
             return CRASHES_TO_REFUSE_IF_UNCERTAIN
         return CRASHES_TO_REFUSE
@@ -296,12 +295,20 @@
 def _strength(found: _CountedEvidence) -> tuple[int, int, int]:
     """Return a sort key: the greater, the more speaks against a suspect."""
     return (
-        -found.sound_run_count,
         len(found.sequential),
         len(found.crashes),
+        -found.sound_run_count,
     )
 
 
+def _spread(
+    crashes: Collection[evidence.ServerCrash],
+) -> datetime.timedelta:
+    """Return the difference between the longest and the shortest run time."""
+    run_times = [crash.ran_for for crash in crashes]
+    return max(run_times) - min(run_times)
+
+
 def _sequential_crashes(
     crashes: Iterable[evidence.ServerCrash],
 ) -> tuple[evidence.ServerCrash, ...]:
