Tell operators which prompt part a refusal follows from, and test its parts

Cause: a refusal named a count of servers only; from a request's id nobody could find the part, nor the crashes under it in other requests. Change: log lines of crashes and refusals name the suspect and the part, explain shows the crashes under it, /suspects its id.

--- a/src/lugcross/crash_suspects/assessment.py
+++ b/src/lugcross/crash_suspects/assessment.py
@@ -230,6 +230,7 @@
         others = self._unrelated_crashed_servers(found) - set(explained)
         if (
             not others
+            and not found.sound_run_count
             and len(found.crashes) >= CRASHES_TO_REFUSE
             and _spread(found.crashes) <= RUN_TIME_TOLERANCE
         ):
--- a/src/lugcross/edge/crash_tracker.py
+++ b/src/lugcross/edge/crash_tracker.py
@@ -57,6 +57,8 @@
         self._pending_checks: set[asyncio.Task[None]] = set()
         self.registry = crash_suspects.SuspectRegistry()
         self._containment = crash_suspects.GroupContainment()
+        #: Ids of suspected prompt parts, as far as requests had them here.
+        self._part_ids: dict[crash_suspects.Fingerprint, str] = {}
         #: Called with all servers that are known to have crashed, when these
         #: may have changed.
         self.on_crashed_servers: Callable[[frozenset[str]], None] = (
@@ -83,7 +85,7 @@
         """
         if not len(self.registry):
             return _NOT_SUSPECT
-        return self.registry.assess(
+        found = self.registry.assess(
             [
                 one
                 for one in checked.suspects
@@ -92,6 +94,9 @@
             self._software_versions(checked.service),
             self._clock.monotonic(),
         )
+        if found.suspect in checked.parts:
+            self._part_ids[found.suspect] = checked.parts[found.suspect]
+        return found
 
     def time_until_expiry(
         self, crashes: Iterable[crash_suspects.ServerCrash]
@@ -333,6 +338,9 @@
         now = self._clock.monotonic()
         self.registry.drop_expired(now)
         self._containment.retain_only(self.registry.crashed_servers())
+        for part in list(self._part_ids):
+            if self.registry.find(part) is None:
+                del self._part_ids[part]
         for key, at in list(self._crashed_at.items()):
             if at <= now - crash_suspects.SUSPICION_TTL:
                 del self._crashed_at[key]
@@ -343,6 +351,7 @@
         rows = [
             {
                 "same": record.suspect.hex(),
+                "part": self._part_ids.get(record.suspect),
                 "ends": [
                     {
                         "backend": crash.server,
--- a/src/lugcross/edge/request_handler.py
+++ b/src/lugcross/edge/request_handler.py
@@ -159,6 +159,7 @@
                     ),
                     2,
                 ),
+                **self._suspect_fields(checked),
                 **self._urgency_fields(checked, snapshot),
                 **self._share_fields(checked, snapshot),
                 "list_age_s": round(
@@ -178,6 +179,19 @@
             },
         )
 
+    def _suspect_fields(
+        self, checked: checked_request.CheckedRequest
+    ) -> dict[str, object]:
+        """Return what makes the request a crash suspect, if it is one."""
+        found = self._edge_state.crash_tracker.assess(checked)
+        if found.suspect is None:
+            return {}
+        return {
+            "suspect": found.suspect.hex(),
+            "part": checked.parts.get(found.suspect),
+            "ends": [crash.server for crash in found.crashes],
+        }
+
     def _urgency_fields(
         self,
         checked: checked_request.CheckedRequest,
--- a/src/lugcross/observe/request_timeline.py
+++ b/src/lugcross/observe/request_timeline.py
@@ -5,9 +5,11 @@
 the processes that handled it: the desired state in force, whether they
 reached the store, broken rank groups, expert map switches. It also contains
 the lines of the caller's other attempts at the same request, on any process,
-where a fingerprint identifies them.
+where a fingerprint identifies them, and the crashes of servers that made it
+a suspect.
 """
 
+from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Iterator
 from collections.abc import Sequence
@@ -36,6 +38,8 @@
         "store available again",
     }
 )
+#: Message that reports the crash of a backend server.
+CRASH_MESSAGE = "server crashed while running a request"
 #: Messages that end a state, with the message that began it. Only the later
 #: of the two applies.
 _STATE_ENDS = {
@@ -74,6 +78,18 @@
         """
         return str(self.fields.get("same") or "")
 
+    @property
+    def suspect(self) -> str:
+        """Fingerprint of the request or prompt part that is suspected.
+
+        Empty if the line has none.
+        """
+        return str(self.fields.get("suspect") or "")
+
+    def is_crash_under(self, suspects: Collection[str]) -> bool:
+        """Return whether it reports a crash under any of some suspects."""
+        return self.message == CRASH_MESSAGE and self.suspect in suspects
+
 
 @final
 class LogReader:
@@ -130,10 +146,12 @@
     if not own:
         return []
     fingerprints = {line.fingerprint for line in own if line.fingerprint}
+    suspects = {line.suspect for line in own if line.suspect}
     other_attempts = [
         line
         for line in ordered
-        if line.fingerprint in fingerprints and line.request != request
+        if line.request != request
+        and (line.fingerprint in fingerprints or line.is_crash_under(suspects))
     ]
     nodes = {line.node for line in own}
     states = [
--- a/testing/edge/test_crash_tracker.py
+++ b/testing/edge/test_crash_tracker.py
@@ -3,6 +3,7 @@
 
 import asyncio
 import dataclasses
+import json
 
 import edge_rig as rig
 
@@ -141,6 +142,115 @@
     assert _counted_crashes(one) == [3]
 
 
+def _play_prompts(crashes, *prompts):
+    """Send requests with other bodies each; return their answers."""
+
+    async def main():
+        one = rig.Rig(clock_lib.ManualClock())
+        servers = _CrashingServers(one, crashes)
+        await one.start(*([servers.script(num)] for num in range(4)))
+        one.adopt(rig.UNSAFE_ROUTE)
+        got = [
+            await one.ask(
+                b"Prompt-Prefix: " + prompt, method=b"POST", body=b"%d" % num
+            )
+            for num, prompt in enumerate(prompts)
+        ]
+        one.close()
+        return got
+
+    return asyncio.run(main())
+
+
+def test_requests_with_a_part_that_crashes_servers_are_refused():
+    got = _play_prompts(
+        3, b"a:4,bad:7,c:1", b"bad:7,d:1", b"b:1,bad:7,e:1", b"a:4,bad:7,f:1"
+    )
+    assert [one.status for one in got] == [502, 502, 502, 503]
+    assert b"3 backend servers have ended" in got[3].body
+    assert b"'bad'" in got[3].body
+
+
+def test_requests_without_that_part_are_served():
+    got = _play_prompts(
+        3, b"a:4,bad:7,c:1", b"bad:7,d:1", b"b:1,bad:7,e:1", b"a:4,f:1"
+    )
+    assert got[3].status == 200
+
+
+def test_last_part_of_a_prompt_is_no_suspect():
+    got = _play_prompts(3, b"a:4,bad:7", b"b:4,bad:7", b"c:4,bad:7", b"bad:7")
+    assert got[3].status == 200
+
+
+def test_part_is_refused_while_a_request_waits_for_its_connection():
+    async def main() -> None:
+        one = rig.Rig(clock_lib.ManualClock())
+        await one.start([rig.answer()], [rig.answer()])
+        one.adopt(rig.SAFE_ROUTE)
+        part = crash_suspects.part_fingerprint("app", "bad")
+        registry = one.edge_state.crash_tracker.registry
+        backend = one.edge_state.backends.usable(ids.ServiceName("app"))[0]
+        acquire = one.edge_state.pool.acquire
+
+        async def acquire_late(*args, **kwargs):
+            conn = await acquire(*args, **kwargs)
+            for num in range(3):
+                crash = crash_suspects.ServerCrash(
+                    f"i-9{num}",
+                    backend.software_version,
+                    clock_lib.seconds(num),
+                    clock_lib.seconds(0.1),
+                )
+                registry.record_crash(part, crash, clock_lib.seconds(num))
+            return conn
+
+        one.edge_state.pool.acquire = acquire_late
+        got = await one.ask(b"Prompt-Prefix: bad:7,c:1")
+        assert got.status == 503
+        assert b"3 backend servers have ended" in got.body
+        assert [backend.seen for backend in one.backends] == [[], []]
+        one.close()
+
+    asyncio.run(main())
+
+
+def test_exempt_part_is_not_refused():
+    async def main() -> None:
+        one = rig.Rig(clock_lib.ManualClock())
+        servers = _CrashingServers(one, 3)
+        await one.start(*([servers.script(num)] for num in range(4)))
+        one.adopt(rig.UNSAFE_ROUTE)
+        part = crash_suspects.part_fingerprint("app", "bad")
+        one.edge_state.crash_tracker.exempt_requests = frozenset([part])
+        got = [
+            await one.ask(
+                b"Prompt-Prefix: bad:7,%d:1" % num,
+                method=b"POST",
+                body=b"%d" % num,
+            )
+            for num in range(4)
+        ]
+        assert [answer.status for answer in got] == [502, 502, 502, 200]
+        one.close()
+
+    asyncio.run(main())
+
+
+def test_list_of_suspects_names_prompt_parts():
+    async def main() -> bytes:
+        one = rig.Rig(clock_lib.ManualClock())
+        servers = _CrashingServers(one, 1)
+        await one.start(*([servers.script(num)] for num in range(2)))
+        one.adopt(rig.UNSAFE_ROUTE)
+        await one.ask(b"Prompt-Prefix: bad:7,c:1", method=b"POST", body=b"1")
+        one.close()
+        return one.edge_state.crash_tracker.suspects_json()
+
+    rows = json.loads(asyncio.run(main()))["suspects"]
+    assert sorted(str(row["part"]) for row in rows) == ["None", "bad"]
+
+
 def test_exempt_request_is_not_refused():
     got, _, servers = _play_crashes(2, times=2, exempt=True)
     assert [one.status for one in got] == [502, 200]
--- a/testing/edge/test_malformed_messages.py
+++ b/testing/edge/test_malformed_messages.py
@@ -87,15 +87,18 @@
     _decode_or_reject(decode, cbor2.dumps(value))
 
 
-@given(value=VALUES, crashes=VALUES, field=strategies.integers(0, 2))
+@given(value=VALUES, crashes=VALUES, field=strategies.integers(0, 3))
 @example(value=None, crashes=[["i-1", "v1", 5, 5]], field=1)
 @example(value=None, crashes=[["i-1", "v1", 5, -1]], field=1)
 @example(value=7, crashes=None, field=2)
 @example(value=b"short", crashes=None, field=0)
+@example(value=[[1, "v1", 5]] * 4, crashes=None, field=3)
+@example(value=[[-1, "v1", 5]], crashes=None, field=3)
+@example(value=[[1, "v1", 2**40]], crashes=None, field=3)
 def test_malformed_suspects_are_rejected_and_change_nothing(
     value, crashes, field
 ):
-    suspect = [b"x" * 16, [["i-1", "v1", 5, 5]], -1]
+    suspect = [b"x" * 16, [["i-1", "v1", 5, 5]], -1, []]
     suspect[field] = crashes if field == 1 else value
     fields = cbor2.loads(messages.encode(HEARTBEAT))
     fields[SUSPECTS_INDEX] = [suspect]
--- a/testing/edge/test_old_builds.py
+++ b/testing/edge/test_old_builds.py
@@ -27,7 +27,8 @@
 from lugcross.rate_limits import limit_reports
 from lugcross import record_codec
 
-FRAMES = pathlib.Path(__file__).parent / "frames" / "76ebb2a"
+ALL_FRAMES = pathlib.Path(__file__).parent / "frames"
+FRAMES = ALL_FRAMES / "76ebb2a"
 TODAY = types.SimpleNamespace(
     **{name: getattr(messages, name) for name in dir(messages)}
 )
@@ -125,10 +126,28 @@
     return messages.decode_datagram(cbor2.dumps(values))
 
 
+@pytest.mark.parametrize("build", ["76ebb2a", "d9d5186"])
 @pytest.mark.parametrize(("name", "samples", "decode", "old_type"), CASES)
-def test_recorded_frames_are_decoded_today(name, samples, decode, old_type):
+def test_recorded_frames_are_decoded_today(
+    name, samples, decode, old_type, build
+):
     """Guards against a field that is moved, removed or of another type."""
-    assert decode(_frame(name)) == samples(TODAY)[name]
+    data = (ALL_FRAMES / build / name).read_bytes()
+    assert decode(data) == samples(TODAY)[name]
+
+
+def test_sound_runs_of_suspects_do_not_disturb_76ebb2a():
+    """Guards against reports of prompt parts that old processes drop."""
+    heartbeat = frame_samples.full_heartbeat(TODAY)
+    runs = [TODAY.SoundRun(num, "v1", 5) for num in range(3)]
+    suspects = [
+        msgspec.structs.replace(one, sound_runs=runs)
+        for one in heartbeat.suspects
+    ]
+    sent = msgspec.structs.replace(heartbeat, suspects=suspects)
+    data = messages.encode(sent)
+    assert messages.decode_datagram(data) == sent
+    assert old.decode_datagram(data) == frame_samples.full_heartbeat(old)
 
 
 @pytest.mark.parametrize(("name", "samples", "decode", "old_type"), CASES)
--- a/testing/observe/test_request_timeline.py
+++ b/testing/observe/test_request_timeline.py
@@ -44,6 +44,22 @@
     ]
 
 
+def test_timeline_contains_the_crashes_under_the_same_prompt_part() -> None:
+    crash = "server crashed while running a request"
+    lines = [
+        _line_text(1.0, "n2", crash, request="r1", same="f1", suspect="p"),
+        _line_text(2.0, "n3", crash, request="r2", same="f2", suspect="p"),
+        _line_text(2.5, "n3", crash, request="r3", same="f3", suspect="q"),
+        _line_text(3.0, "n1", "refused", request="r4", suspect="p"),
+        _line_text(4.0, "n1", "refused", request="r5", suspect="p"),
+    ]
+    assert _timeline(lines, "r4") == [
+        (1.0, crash),
+        (2.0, crash),
+        (3.0, "refused"),
+    ]
+
+
 def test_timeline_contains_other_attempts_at_the_same_request() -> None:
     attempts = [
         _line_text(
--- a/testing/support/record_frames.py
+++ b/testing/support/record_frames.py
@@ -18,6 +18,7 @@
 from lugcross.edge import patches
 from lugcross.edge import suspect_store
 from lugcross import experts
+from lugcross import rate_limits
 from lugcross import record_codec
 
 BUILD = types.SimpleNamespace(
@@ -26,6 +27,8 @@
 BUILD.Patch = patches.Patch
 BUILD.Splice = patches.Splice
 BUILD.LeaseRecord = experts.LeaseRecord
+if not hasattr(BUILD, "ServerLimit"):
+    BUILD.ServerLimit = rate_limits.ServerLimitMessage
 # The store's record of a suspect has no public type.
 BUILD.StoredSuspect = suspect_store._StoredSuspect
 
