Notice crashes of servers that write streams without length or chunks

What callers saw: such a stream was resumed at one server after the other, each of which it crashed. Cause: the stream ends inside an event, which was taken for an invalid answer of a live server, as the end of the connection is the end of such a body. Change: any invalid answer whose connection has ended has its server probed. Result: test_crash_of_a_server_that_wrote_without_chunks_is_noticed was red; 13 tests of such answers pass (complete, cut off in head and body, reset, inside an event, surplus, not used again), the other 12 without the change too.

--- a/src/lugcross/edge/attempt.py
+++ b/src/lugcross/edge/attempt.py
@@ -154,8 +154,12 @@
             outcome = await self._receive(conn)
             reusable = conn.reusable
         except (http1.ConnectionBrokenError, _InvalidResponseError) as exc:
-            is_broken = isinstance(exc, http1.ConnectionBrokenError)
-            self.connection_lost = is_broken and not self._unacknowledged
+            # A body without length ends with its connection, so that a server
+            # that crashes within it seems to have sent all of the body.
+            is_lost = (
+                isinstance(exc, http1.ConnectionBrokenError) or conn.closing
+            )
+            self.connection_lost = is_lost and not self._unacknowledged
             self._report_failure(
                 "no byte of the request was acknowledged"
                 if self._unacknowledged
