Admit connections where the number of descriptors is not limited

Cause: RLIM_INFINITY is -1, and half of it none, so that a process without a limit would have closed each new connection unread. Found by reading; no deployment has shown it. Result: the test of such a process was red.

--- a/src/lugcross/connection_limits/gate.py
+++ b/src/lugcross/connection_limits/gate.py
@@ -14,6 +14,8 @@
 
 import datetime
 import enum
+import math
+import resource
 from typing import final
 
 #: Connections admitted in one interval at most: clients that all reconnect at
@@ -42,11 +44,14 @@
     TOO_MANY = "too-many"
 
 
-def default_max_connections(descriptor_limit: int) -> int:
+def default_max_connections(descriptor_limit: int) -> float:
     """Return how many connections of callers a process may have open.
 
-    :param descriptor_limit: file descriptors that the process may have open.
+    :param descriptor_limit: file descriptors that the process may have open;
+        ``resource.RLIM_INFINITY`` for any number.
     """
+    if descriptor_limit == resource.RLIM_INFINITY:
+        return math.inf
     return int(descriptor_limit * (1 - _RESERVED_DESCRIPTOR_FRACTION))
 
 
@@ -57,7 +62,7 @@
     :param max_connections: open connections above which all are refused.
     """
 
-    def __init__(self, max_connections: int) -> None:
+    def __init__(self, max_connections: float) -> None:
         self._max_connections = max_connections
         self._max_admitted = _MAX_ADMITTED_COUNT
         self._admitted = 0
--- a/testing/connection_limits/test_gate.py
+++ b/testing/connection_limits/test_gate.py
@@ -3,6 +3,7 @@
 
 import collections
 import datetime
+import resource
 
 import pytest
 
@@ -58,6 +59,11 @@
     assert 1000 <= connection_limits.default_max_connections(4100) <= 3000
 
 
+def test_process_without_a_limit_of_descriptors_admits_connections():
+    limit = connection_limits.default_max_connections(resource.RLIM_INFINITY)
+    assert connection_limits.ConnectionGate(limit).try_admit(10_000) is None
+
+
 class _Process:
     """A process that handles one request after the other.
 
