Do not blame requests that were sent to a server after its crash

Cause: requests sent on idle connections to servers that had crashed broke off at once and counted as new crashes, where the process did not know of the crash. Five of these in a row overrule any number of sound runs. Change: a run that began later than the earliest report of its server's crash is none. The crashes of all records are sorted once for an assessment instead of compared with each record, which took most of the time where servers crash all the time.

--- a/src/lugcross/crash_suspects/assessment.py
+++ b/src/lugcross/crash_suspects/assessment.py
@@ -23,6 +23,7 @@
   be told apart. Only requests that have all of them are refused.
 """
 
+import bisect
 from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Mapping
@@ -138,6 +139,12 @@
         self._records = records
         self._software_versions = software_versions
         self._now = now
+        #: When each server crashed, by the earliest report.
+        self._crashed_at = _crash_times(records.values())
+        #: The same as times and servers, in order of time.
+        self._crashes = sorted(
+            (at, server) for server, at in self._crashed_at.items()
+        )
         #: Suspects that are refused where they are together, with the servers
         #: that crashed under them.
         self._refused: list[
@@ -213,7 +220,8 @@
     def _is_refusable(
         self, found: _CountedEvidence, explained: Collection[str]
     ) -> bool:
-        if not found.crashes:
+        fewest = CRASHES_TO_REFUSE_IF_COPIES_AGREE + found.sound_run_count
+        if len(found.sequential) < fewest:
             return False
         if (
             len(found.sequential_since_sound)
@@ -248,17 +256,16 @@
         Crashes under requests cleared since then are included: the servers
         did crash.
         """
-        return {
-            other.server
-            for record in self._records.values()
-            for other in record.crashes
-            if other.server not in found.servers
-            and any(
-                abs(crash.crashed_at - other.crashed_at)
-                < UNRELATED_CRASH_WINDOW
-                for crash in found.crashes
+        others: set[str] = set()
+        for crash in found.crashes:
+            first = bisect.bisect_right(
+                self._crashes, (crash.crashed_at - UNRELATED_CRASH_WINDOW, "")
             )
-        }
+            end = bisect.bisect_left(
+                self._crashes, (crash.crashed_at + UNRELATED_CRASH_WINDOW, "")
+            )
+            others.update(server for _, server in self._crashes[first:end])
+        return others - found.servers
 
     def _count(
         self,
@@ -290,8 +297,30 @@
             if crash.server not in explained
             and crash.software in self._software_versions
             and crash.crashed_at > self._now - evidence.SUSPICION_TTL
+            and self._may_have_run(crash)
         )
 
+    def _may_have_run(self, crash: evidence.ServerCrash) -> bool:
+        """Return whether the server was still running when it was sent.
+
+        A request may be sent on an idle connection to a server that has
+        crashed already.
+        """
+        sent_at = crash.crashed_at - crash.ran_for
+        return sent_at <= self._crashed_at[crash.server] + RUN_TIME_TOLERANCE
+
+
+def _crash_times(
+    records: Iterable[evidence.SuspectRecord],
+) -> dict[str, clock_lib.Instant]:
+    """Return when each server crashed."""
+    times: dict[str, clock_lib.Instant] = {}
+    for record in records:
+        for crash in record.crashes:
+            known = times.get(crash.server, crash.crashed_at)
+            times[crash.server] = min(known, crash.crashed_at)
+    return times
+
 
 def _strength(found: _CountedEvidence) -> tuple[int, int, int]:
     """Return a sort key: the greater, the more speaks against a suspect."""
--- a/testing/crash_suspects/test_assessment.py
+++ b/testing/crash_suspects/test_assessment.py
@@ -247,3 +247,15 @@
     assert needed <= crash_suspects.MAX_CRASHES_KEPT
     most = assessment.CRASHES_TO_REFUSE + crash_suspects.MAX_SOUND_RUNS_KEPT
     assert most > crash_suspects.MAX_CRASHES_KEPT
+
+
+def test_request_sent_to_a_server_that_had_crashed_has_not_run(evidence):
+    """A part of half of all requests was refused when all servers crashed.
+
+    The requests that followed were sent on idle connections, whose servers
+    other processes knew to have crashed.
+    """
+    for num in range(5):
+        evidence.crash(f"s{num}", 1, part(f"request {num}"))
+        evidence.crash(f"s{num}", 2 + num, POPULAR, ran=0.001)
+    assert evidence.status(POPULAR) is NOT_SUSPECT
