Let exempt requests run in spite of their parts

Cause: an operator's exemption of a request no longer covered it if a part of its prompt was refused. Also, the time of the probe after a broken attempt counted as run time, up to 0.3 s, which makes run times seem to differ.

--- a/src/lugcross/edge/crash_tracker.py
+++ b/src/lugcross/edge/crash_tracker.py
@@ -83,7 +83,10 @@
 
         While the registry is empty, no fingerprints are computed.
         """
-        if not len(self.registry):
+        if (
+            not len(self.registry)
+            or checked.fingerprint in self.exempt_requests
+        ):
             return _NOT_SUSPECT
         found = self.registry.assess(
             [
@@ -227,13 +230,18 @@
         first_event_at: clock_lib.Instant | None,
         wrote_soundly: bool,
     ) -> None:
+        # Without the time that the probe takes.
+        broke_at = self._clock.monotonic()
         if not await self._has_crashed(backend):
             return
         now = self._clock.monotonic()
         if self._crashed_at.setdefault(backend.key, now) < sent_at:
             return
         crash = crash_suspects.ServerCrash(
-            backend.key, backend.software_version, now, now - sent_at
+            backend.key,
+            backend.software_version,
+            broke_at,
+            broke_at - sent_at,
         )
         # A part that crashes servers does so when they begin to write.
         suspects = (
@@ -261,7 +269,7 @@
                 "parts": checked.caller_head.shared_parts[:_MAX_PARTS_LOGGED],
                 "wrote_ms": None
                 if first_event_at is None
-                else round((now - first_event_at) / _MS),
+                else round((broke_at - first_event_at) / _MS),
             },
         )
         self.on_change()
--- a/testing/edge/test_crash_tracker.py
+++ b/testing/edge/test_crash_tracker.py
@@ -237,6 +237,32 @@
     asyncio.run(main())
 
 
+def test_exempt_request_runs_in_spite_of_its_part():
+    async def main() -> rig.CallerAnswer:
+        one = rig.Rig(clock_lib.ManualClock())
+        servers = _CrashingServers(one, 3)
+        await one.start(*([servers.script(num)] for num in range(4)))
+        one.adopt(rig.UNSAFE_ROUTE)
+        tracker = one.edge_state.crash_tracker
+        for num in range(3):
+            await one.ask(
+                b"Prompt-Prefix: bad:7,c:1", method=b"POST", body=b"%d" % num
+            )
+        part = crash_suspects.part_fingerprint("app", "bad")
+        tracker.exempt_requests = frozenset(
+            record.suspect
+            for record in tracker.registry.records()
+            if record.suspect != part
+        )
+        got = await one.ask(
+            b"Prompt-Prefix: bad:7,c:1", method=b"POST", body=b"2"
+        )
+        one.close()
+        return got
+
+    assert asyncio.run(main()).status == 200
+
+
 def test_list_of_suspects_names_prompt_parts():
     async def main() -> bytes:
         one = rig.Rig(clock_lib.ManualClock())
