--- a/testing/soak/test_soak.py
+++ b/testing/soak/test_soak.py
@@ -28,6 +28,9 @@
 #: Servers that one request may crash: two, or three where a busy machine
 #: makes the crashes look as if they came at different times of the request.
 MAX_CRASHES = 3
+#: The same for a part of prompts. One request more may be needed where a busy
+#: machine makes its crashes look as if they came at very different times.
+MAX_CRASHES_OF_A_PART = 4
 #: Backoff that servers ask for, and rounds of requests in that test.
 BACKOFF_S = 1.5
 BACKOFF_ROUNDS = 120
@@ -253,6 +256,60 @@
     assert fleet.history.violations() == []
 
 
+async def _send_crashing_prompts(
+    fleet: soak_fleet.Fleet, kind: soak_checks.RequestKind
+) -> list[soak_checks.CallResult]:
+    """Send requests with the crashing part, none like another.
+
+    The last one goes to a process that has just been restarted.
+    """
+    calls = []
+    for num in range(MAX_CRASHES_OF_A_PART + 1):
+        one = fleet.processes[num % PROCESSES]
+        if num == MAX_CRASHES_OF_A_PART:
+            await one.restart(signal.SIGKILL)
+            await fleet.wait_until_serving()
+        await _wait_until_all_list(fleet, fleet.crash_count)
+        caller = soak_fleet.Caller(one.ports["callers"], fleet.history)
+        part = soak_fleet.CRASHING_PART
+        call = await caller.send(
+            f"prompt-{num}",
+            kind,
+            path_suffix=f"x{num}",
+            prompt=b"first:4,%s:7,own%d:9" % (part, num),
+        )
+        calls.append(call)
+        caller.close()
+    return calls
+
+
+@pytest.mark.parametrize("kind", list(soak_checks.RequestKind))
+def test_requests_with_a_part_that_crashes_servers_are_refused(
+    tmp_path: pathlib.Path, kind: soak_checks.RequestKind
+):
+    async def main():
+        fleet = soak_fleet.Fleet(
+            tmp_path, processes=PROCESSES, servers=SERVERS
+        )
+        async with asyncio.timeout(RUN_TIMEOUT_S), fleet:
+            calls = await _send_crashing_prompts(fleet, kind)
+            caller = soak_fleet.Caller(
+                fleet.processes[0].ports["callers"], fleet.history
+            )
+            sound = await caller.send(
+                "sound", kind, prompt=b"first:4,other:7,own:9"
+            )
+            caller.close()
+        return fleet, calls, sound
+
+    fleet, calls, sound = asyncio.run(main())
+    assert 0 < fleet.crash_count <= MAX_CRASHES_OF_A_PART
+    assert calls[-1].status == soak_checks.REFUSED
+    assert b"with part 'bad'" in calls[-1].body
+    assert sound.status == soak_checks.OK
+    assert fleet.history.violations() == []
+
+
 async def _send_from_all(
     fleet: soak_fleet.Fleet, batch: str, rounds: int = BACKOFF_ROUNDS
 ) -> int:
--- a/testing/support/soak_fleet.py
+++ b/testing/support/soak_fleet.py
@@ -29,6 +29,8 @@
 _PROCESSING_S = 0.005
 #: Last part of the path of requests that crash the server that runs them.
 CRASHING_PATH = "ending"
+#: Part of prompts that crashes the server that runs it.
+CRASHING_PART = b"bad"
 
 
 #: Longest part of a log that an error quotes.
@@ -96,7 +98,11 @@
             return
         self._run_counts[name] += 1
         await asyncio.sleep(_PROCESSING_S)
-        if line.split(b" ")[1].endswith(CRASHING_PATH.encode()):
+        prompt = headers.get(b"prompt-prefix", b"").split(b",")
+        if (
+            line.split(b" ")[1].endswith(CRASHING_PATH.encode())
+            or CRASHING_PART + b":7" in prompt
+        ):
             self.on_crash()
             raise ConnectionAbortedError
         writer.write(
@@ -487,10 +493,12 @@
         *,
         planned_stops_only: bool = False,
         path_suffix: str = "x",
+        prompt: bytes = b"",
     ) -> soak_checks.CallResult:
         """Send one request; record and return its result.
 
         :param path_suffix: last part of the path.
+        :param prompt: parts of its prompt, as sent; empty to send none.
         """
         parts: list[bytes] = []
         status, complete = 0, False
@@ -509,6 +517,8 @@
                 ]
                 if method == b"POST":
                     headers.append((b"Content-Length", b"0"))
+                if prompt:
+                    headers.append((b"Prompt-Prefix", prompt))
                 target = f"/{kind.value}/{path_suffix}".encode()
                 conn.send(method, target, headers, b"")
                 status = (await conn.read_head()).status
