--- a/src/lugcross/crash_suspects/__init__.py
+++ b/src/lugcross/crash_suspects/__init__.py
@@ -1,6 +1,7 @@
 # SPDX-License-Identifier: Apache-2.0
 """Detection of requests that crash the backend servers that run them."""
 
+from lugcross.crash_suspects.answer_progress import AnswerProgress
 from lugcross.crash_suspects.assessment import Assessment
 from lugcross.crash_suspects.assessment import CRASHES_TO_REFUSE
 from lugcross.crash_suspects.assessment import SuspectStatus
@@ -26,6 +27,7 @@
     "MAX_CRASHES_KEPT",
     "MAX_SOUND_RUNS_KEPT",
     "SUSPICION_TTL",
+    "AnswerProgress",
     "Assessment",
     "Fingerprint",
     "GroupContainment",
--- a/src/lugcross/edge/attempt.py
+++ b/src/lugcross/edge/attempt.py
@@ -10,6 +10,7 @@
 from absl import logging
 
 from lugcross import clock as clock_lib
+from lugcross import crash_suspects
 from lugcross import desired
 from lugcross.edge import caller_response as caller_response_lib
 from lugcross.edge import checked_request
@@ -31,11 +32,6 @@
 #: Larger responses are not joined, which copies them.
 _MAX_JOINED_BYTES = 1_048_576
 _EVENT_STREAM_TYPE = b"text/event-stream"
-#: Time for which events must arrive, and in how many reads at least, until a
-#: server that begins to write an answer has not crashed of it. A slow server
-#: writes its first events far apart.
-_SOUND_WRITING_TIME = datetime.timedelta(seconds=0.5)
-_SOUND_EVENT_READ_COUNT = 4
 
 
 class _InvalidResponseError(Exception):
@@ -55,9 +51,7 @@
         it would be blamed for a crash without having run.
     :ivar connection_lost: whether the server or its host closed the
         connection before the response was complete.
-    :ivar first_event_at: when the first event of a stream arrived, if any.
-    :ivar wrote_soundly: whether events have been arriving for so long that
-        the server will not crash of beginning this answer.
+    :ivar progress: how far the server's answer has come.
     """
 
     def __init__(
@@ -86,9 +80,7 @@
         self._health_reported = False
         self._sent_at = clock.monotonic()
         self.connection_lost = False
-        self.first_event_at: clock_lib.Instant | None = None
-        self._event_reads = 0
-        self.wrote_soundly = False
+        self.progress = crash_suspects.AnswerProgress()
 
     async def run(self) -> retry_policy.AttemptOutcome | None:
         """Send the request and forward the response.
@@ -384,7 +376,10 @@
         self, previous_at: clock_lib.Instant | None
     ) -> clock_lib.Instant:
         now = self._clock.monotonic()
-        self._observe_sound_writing(now)
+        if self.progress.note_events(now):
+            self._edge_state.crash_tracker.record_sound_run(
+                self._checked, self._backend
+            )
         limit = self._checked.route.max_event_gap
         if previous_at is not None and limit is not None:
             self._edge_state.observe_event_gap(
@@ -392,20 +387,6 @@
             )
         return now
 
-    def _observe_sound_writing(self, now: clock_lib.Instant) -> None:
-        self._event_reads += 1
-        if self.first_event_at is None:
-            self.first_event_at = now
-        if (
-            not self.wrote_soundly
-            and self._event_reads >= _SOUND_EVENT_READ_COUNT
-            and now - self.first_event_at >= _SOUND_WRITING_TIME
-        ):
-            self.wrote_soundly = True
-            self._edge_state.crash_tracker.record_sound_run(
-                self._checked, self._backend
-            )
-
     def _backend_health(self) -> routing.BackendHealth:
         return self._edge_state.loads.health(self._backend.key)
 
--- a/src/lugcross/edge/crash_tracker.py
+++ b/src/lugcross/edge/crash_tracker.py
@@ -192,9 +192,7 @@
         checked: checked_request.CheckedRequest,
         backend: desired.Backend,
         sent_at: clock_lib.Instant,
-        *,
-        first_event_at: clock_lib.Instant | None = None,
-        wrote_soundly: bool = False,
+        progress: crash_suspects.AnswerProgress,
     ) -> None:
         """Find out whether the server crashed, and record it if so.
 
@@ -203,19 +201,10 @@
 
         :param sent_at: when the attempt was sent. If the server had crashed
             before that, the request never ran there.
-        :param first_event_at: when the first event of its answer arrived, if
-            any.
-        :param wrote_soundly: whether it had been arriving for so long that no
-            part of the prompt can be the cause.
+        :param progress: how far its answer came.
         """
         task = asyncio.create_task(
-            self._check_for_crash(
-                checked,
-                backend,
-                sent_at,
-                first_event_at=first_event_at,
-                wrote_soundly=wrote_soundly,
-            )
+            self._check_for_crash(checked, backend, sent_at, progress)
         )
         self._pending_checks.add(task)
         task.add_done_callback(self._pending_checks.discard)
@@ -226,9 +215,7 @@
         checked: checked_request.CheckedRequest,
         backend: desired.Backend,
         sent_at: clock_lib.Instant,
-        *,
-        first_event_at: clock_lib.Instant | None,
-        wrote_soundly: bool,
+        progress: crash_suspects.AnswerProgress,
     ) -> None:
         # Without the time that the probe takes.
         broke_at = self._clock.monotonic()
@@ -243,9 +230,8 @@
             broke_at,
             broke_at - sent_at,
         )
-        # A part that crashes servers does so when they begin to write.
         suspects = (
-            (checked.fingerprint,) if wrote_soundly else checked.suspects
+            (checked.fingerprint,) if progress.is_sound else checked.suspects
         )
         news = [
             self.registry.record_crash(one, crash, now) for one in suspects
@@ -268,8 +254,8 @@
                 else None,
                 "parts": checked.caller_head.shared_parts[:_MAX_PARTS_LOGGED],
                 "wrote_ms": None
-                if first_event_at is None
-                else round((broke_at - first_event_at) / _MS),
+                if progress.first_event_at is None
+                else round((broke_at - progress.first_event_at) / _MS),
             },
         )
         self.on_change()
--- a/src/lugcross/edge/request_forwarder.py
+++ b/src/lugcross/edge/request_forwarder.py
@@ -53,10 +53,8 @@
         self._tried_backends: set[desired.BackendKey] = set()
         #: Whether the server of the last attempt closed the connection.
         self._connection_lost = False
-        #: When the first event of the last attempt arrived, if any.
-        self._first_event_at: clock_lib.Instant | None = None
-        #: Whether the last attempt's server wrote for long without a crash.
-        self._wrote_soundly = False
+        #: How far the answer of the last attempt came.
+        self._progress = crash_suspects.AnswerProgress()
         #: Why admission refused the request, if it is sent to a spare server
         #: all the same.
         self._not_admitted_reason: str | None = None
@@ -281,8 +279,7 @@
         finally:
             self._on_change()
         self._connection_lost = attempt.connection_lost
-        self._first_event_at = attempt.first_event_at
-        self._wrote_soundly = attempt.wrote_soundly
+        self._progress = attempt.progress
         if outcome is None and self._caller_response.success:
             self._edge_state.crash_tracker.record_sound_run(
                 self._checked, backend
@@ -312,8 +309,7 @@
                 self._checked,
                 backend,
                 self._attempt_sent_at,
-                first_event_at=self._first_event_at,
-                wrote_soundly=self._wrote_soundly,
+                self._progress,
             )
 
     def _may_send(self, *, is_suspect: bool) -> bool:
