Merge crashes and sound runs by one function

Cause: a last reading found the same merge written twice (the earliest report of each id, the latest of them kept), the assessment of an innocent request built in two modules, and a check for exempt requests in may_retry that assess() had made dead. Change: evidence._latest_by_id serves both; crash_suspects.NOT_SUSPECT; the check is gone. No behaviour changes, no test is touched.

--- a/src/lugcross/crash_suspects/__init__.py
+++ b/src/lugcross/crash_suspects/__init__.py
@@ -4,6 +4,7 @@
 from lugcross.crash_suspects.answer_progress import AnswerProgress
 from lugcross.crash_suspects.assessment import Assessment
 from lugcross.crash_suspects.assessment import CRASHES_TO_REFUSE
+from lugcross.crash_suspects.assessment import NOT_SUSPECT
 from lugcross.crash_suspects.assessment import SuspectStatus
 from lugcross.crash_suspects.assignment import assign_server
 from lugcross.crash_suspects.containment import GroupContainment
@@ -26,6 +27,7 @@
     "FINGERPRINT_BYTES",
     "MAX_CRASHES_KEPT",
     "MAX_SOUND_RUNS_KEPT",
+    "NOT_SUSPECT",
     "SUSPICION_TTL",
     "AnswerProgress",
     "Assessment",
--- a/src/lugcross/crash_suspects/assessment.py
+++ b/src/lugcross/crash_suspects/assessment.py
@@ -93,7 +93,8 @@
     crashes: tuple[evidence.ServerCrash, ...] = ()
 
 
-_NOT_SUSPECT = Assessment(SuspectStatus.NOT_SUSPECT)
+#: Assessment of a request against which nothing speaks.
+NOT_SUSPECT = Assessment(SuspectStatus.NOT_SUSPECT)
 
 
 @final
@@ -173,7 +174,7 @@
             if one is not None and one.is_suspicious
         ]
         if not suspicious:
-            return _NOT_SUSPECT
+            return NOT_SUSPECT
         strongest = max(suspicious, key=_strength)
         return Assessment(
             SuspectStatus.SUSPECT, strongest.suspect, strongest.sequential
--- a/src/lugcross/crash_suspects/evidence.py
+++ b/src/lugcross/crash_suspects/evidence.py
@@ -10,10 +10,14 @@
 import dataclasses
 import datetime
 from typing import final
+from typing import TypeVar
 
 from lugcross import clock as clock_lib
 from lugcross.crash_suspects import fingerprint
 
+_Id = TypeVar("_Id", str, int)
+_Report = TypeVar("_Report")
+
 #: How long a crash counts against a suspect. After that its callers may try
 #: it again, at the cost of at least two more crashes if nothing was fixed.
 SUSPICION_TTL = datetime.timedelta(minutes=10)
@@ -133,25 +137,30 @@
 
 
 def _merge_crashes(crashes: Iterable[ServerCrash]) -> tuple[ServerCrash, ...]:
-    earliest: dict[str, ServerCrash] = {}
-    for crash in crashes:
-        known = earliest.get(crash.server)
-        if known is None or crash.crashed_at < known.crashed_at:
-            earliest[crash.server] = crash
-    kept = sorted(
-        earliest.values(), key=lambda crash: (crash.crashed_at, crash.server)
+    return _latest_by_id(
+        ((crash.server, crash.crashed_at, crash) for crash in crashes),
+        MAX_CRASHES_KEPT,
     )
-    return tuple(kept[-MAX_CRASHES_KEPT:])
 
 
 def merge_sound_runs(runs: Iterable[SoundRun]) -> tuple[SoundRun, ...]:
     """Return the latest of some runs, each once, oldest first."""
-    earliest: dict[int, SoundRun] = {}
-    for run in runs:
-        known = earliest.get(run.run_id)
-        if known is None or run.observed_at < known.observed_at:
-            earliest[run.run_id] = run
-    kept = sorted(
-        earliest.values(), key=lambda run: (run.observed_at, run.run_id)
+    return _latest_by_id(
+        ((run.run_id, run.observed_at, run) for run in runs),
+        MAX_SOUND_RUNS_KEPT,
     )
-    return tuple(kept[-MAX_SOUND_RUNS_KEPT:])
+
+
+def _latest_by_id(
+    reports: Iterable[tuple[_Id, clock_lib.Instant, _Report]], most: int
+) -> tuple[_Report, ...]:
+    """Return the earliest report of each id, the latest ``most`` of them.
+
+    :param reports: ids, times and what was reported.
+    """
+    earliest: dict[_Id, tuple[clock_lib.Instant, _Id, _Report]] = {}
+    for key, at, report in reports:
+        if key not in earliest or at < earliest[key][0]:
+            earliest[key] = at, key, report
+    kept = sorted(earliest.values(), key=lambda one: one[:2])
+    return tuple(report for _, _, report in kept[-most:])
--- a/src/lugcross/edge/crash_tracker.py
+++ b/src/lugcross/edge/crash_tracker.py
@@ -30,9 +30,6 @@
 #: Prompt parts named in one log line.
 _MAX_PARTS_LOGGED = 8
 _MS = datetime.timedelta(milliseconds=1)
-_NOT_SUSPECT = crash_suspects.Assessment(
-    crash_suspects.SuspectStatus.NOT_SUSPECT
-)
 
 
 @final
@@ -87,7 +84,7 @@
             not len(self.registry)
             or checked.fingerprint in self.exempt_requests
         ):
-            return _NOT_SUSPECT
+            return crash_suspects.NOT_SUSPECT
         found = self.registry.assess(
             [
                 one
@@ -129,8 +126,6 @@
         found = self.assess(checked)
         if found.status is crash_suspects.SuspectStatus.REFUSED:
             return False
-        if checked.fingerprint in self.exempt_requests:
-            return True
         # From some number of crashes on, the retry is left to the caller: by
         # the time it comes back, reports of other processes will have
         # arrived. In a rank group one crash is enough if the server crashed
