Read on where the store has cut an answer

Cause: the store limits an answer to 1,024 KB, and the head of the answer has the end of the topic. The client returned that as the end of the read, the follower read on from there, and the records between were never read. Backends.end and what peers are told of it skipped the same.

Evidence: a log line for such reads, added first. Ruled out: no read after the outage (each logged one), rejected versions (no such line), a peer that kept a version to itself (none had it).

Change: a read ends after its last record and tells how many the topic has beyond it. topic_reads.ReadProgress decides what is read next: on at once if one answer behind, else the newest record of each key. Only a read that reached the end counts as up to date. Peers of the build before, whose position may skip records, are told apart by has_all_records. The stand-in of the store limits answers and pages as the protocol says.

Why it works: no position is ever told, kept or compared that is beyond the last record read.

--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,7 @@
 TEST_JOBS ?= 4
 DECISIONS := $(addprefix testing/,agent cfg connection_limits crash_suspects \
     edge entry experts evacuation held_bytes membership placement rate_limits \
-    reachability routing shares urgency)
+    reachability routing shares topic_reads urgency)
 ALONE := $(addprefix testing/edge/,test_process.py test_state_sync.py)
 
 test: venv
--- a/src/lugcross/edge/messages.py
+++ b/src/lugcross/edge/messages.py
@@ -174,6 +174,8 @@
         sender that they are cold.
     :param unreachable_domains: failure domains whose backend servers the
         sender could not connect to.
+    :param has_all_records: whether the sender has read all records before
+        ``backends_end``; an older build may have skipped some.
     """
 
     node: str
@@ -214,6 +216,14 @@
         list[_Name],
         msgspec.Meta(max_length=reachability.MAX_REPORTED_DOMAINS),
     ] = []
+    has_all_records: bool = False
+
+    @property
+    def covered_end(self) -> positions.Position:
+        """Position before which the sender has all records of servers."""
+        if not self.has_all_records:
+            return positions.START
+        return positions.Position(self.backends_end)
 
 
 @final
@@ -271,6 +281,7 @@
     :param backends: records of backend servers from the requested position on.
     :param compressed: the record compressed (see :func:`patches.decompress`).
     :param patch: patch from the requester's record to the responder's.
+    :param has_all_records: as in :class:`Heartbeat`.
     """
 
     desired: bytes
@@ -278,6 +289,7 @@
     backends: list[BackendRecord]
     compressed: bytes = b""
     patch: patches.Patch | None = None
+    has_all_records: bool = False
 
 
 def encode(message: msgspec.Struct) -> bytes:
--- a/src/lugcross/edge/metrics.py
+++ b/src/lugcross/edge/metrics.py
@@ -118,6 +118,12 @@
             ("service", "workspace"),
             registry=self._registry,
         )
+        self._records_behind = prometheus_client.Gauge(
+            "lugcross_edge_topic_records_behind",
+            "Records that a topic of the store has beyond those read here.",
+            ("topic",),
+            registry=self._registry,
+        )
         self._named_workspaces: set[tuple[str, str]] = set()
         self._gauges = {
             name: prometheus_client.Gauge(
@@ -198,6 +204,10 @@
         """Count an answer by which a backend server asked for a backoff."""
         self._backoffs_asked.labels(service).inc()
 
+    def set_records_behind(self, topic: str, count: int) -> None:
+        """Set how many records of a topic were left out by the last read."""
+        self._records_behind.labels(topic).set(count)
+
     def count_store_restore(self) -> None:
         """Count a return of the store from an older copy."""
         self._store_restores.inc()
--- a/src/lugcross/edge/peer_sync.py
+++ b/src/lugcross/edge/peer_sync.py
@@ -76,6 +76,7 @@
             ],
             compressed=history.compressed() if sends_compressed else b"",
             patch=patch,
+            has_all_records=True,
         )
 
     async def run(self) -> None:
@@ -121,7 +122,7 @@
                 port=peer.heartbeat.state_port,
                 newness=(
                     peer.heartbeat.desired_version,
-                    peer.heartbeat.backends_end,
+                    peer.heartbeat.covered_end,
                 ),
                 same_domain=self._is_same_domain(peer.heartbeat),
             )
@@ -129,7 +130,7 @@
             if peer.heartbeat
             and (
                 peer.heartbeat.desired_version > version
-                or peer.heartbeat.backends_end > end
+                or peer.heartbeat.covered_end > end
             )
         ]
 
@@ -180,9 +181,12 @@
             )
             for row in response.backends
         )
-        result = platform.ReadResult(
-            end=positions.Position(response.backends_end), records=rows
+        end = (
+            positions.Position(response.backends_end)
+            if response.has_all_records
+            else self._edge_state.backends.end
         )
+        result = platform.ReadResult(end=end, records=rows)
         self._edge_state.backends.apply(result, store_was_away=True)
         return True
 
--- a/src/lugcross/edge/state_sync.py
+++ b/src/lugcross/edge/state_sync.py
@@ -262,12 +262,12 @@
     def _peer_reader_candidates(self) -> list[store_readers.ReaderCandidate]:
         """Return the live peers that may read the store for this process.
 
-        Peers of an older build do not, since they pass on no evacuations.
+        Peers of an older build do not, since they may skip records.
         """
         return [
             store_readers.ReaderCandidate(
                 heartbeat.incarnation,
-                heartbeat.reads_store and heartbeat.evacuations is not None,
+                heartbeat.reads_store and heartbeat.has_all_records,
                 heartbeat.domain,
             )
             for heartbeat in self._live_heartbeats(_ACTIVE_PEER_TIMEOUT)
@@ -398,6 +398,7 @@
                 str(one)
                 for one in self._edge_state.reachability.own_findings()
             ],
+            has_all_records=True,
         )
 
     def _count_peers_here(self) -> int:
@@ -471,7 +472,7 @@
             (platform.OPERATOR_TOPIC, heartbeat.desired_age_ms),
             (platform.BACKENDS_TOPIC, heartbeat.backends_age_ms),
         ):
-            if age_ms >= 0:
+            if age_ms >= 0 and heartbeat.has_all_records:
                 self.store_answer_times.record_peer_answer(topic, age_ms * _MS)
 
     def _on_new_era(self, era: positions.Era, before: positions.Era) -> None:
@@ -554,6 +555,6 @@
         return self._lags[topic].duration(own[topic])
 
     def on_store_answer(self, topic: str) -> None:
-        """Record that the store has answered a read of a topic."""
+        """Record that a read of the store has reached a topic's end."""
         self.store_answer_times.record_answer(topic)
         self._lags[topic].note_store_answer()
--- a/src/lugcross/edge/store_followers.py
+++ b/src/lugcross/edge/store_followers.py
@@ -69,10 +69,13 @@
             min_interval=min_interval,
             poll_wait=poll_wait,
             should_restart_read=should_restart_read,
-            on_answer=functools.partial(state_sync.on_store_answer, topic),
+            on_caught_up=functools.partial(state_sync.on_store_answer, topic),
             should_pause_reading=lambda: (
                 state_sync.peers_read_store() and not is_late()
             ),
+            on_records_behind=functools.partial(
+                edge_state.metrics.set_records_behind, topic
+            ),
         )
 
     return [
--- a/src/lugcross/edge/topic_follower.py
+++ b/src/lugcross/edge/topic_follower.py
@@ -14,6 +14,7 @@
 from lugcross import errors
 from lugcross import platform
 from lugcross import positions
+from lugcross import topic_reads
 
 #: Wait after a failed call; doubled after each further one.
 _RETRY_INITIAL_S = 0.1
@@ -67,7 +68,7 @@
 
 #: Called with the result of a read; the flag is true for a snapshot, which has
 #: the newest record of every key, and false for the records since the last
-#: read.
+#: read, as far as they fitted in one answer.
 ReadHandler = Callable[[platform.ReadResult, bool], None]
 
 
@@ -80,9 +81,11 @@
         new records.
     :param should_restart_read: whether to abandon a read that still waits, and
         read on a new connection instead.
-    :param on_answer: called after each read that the store answered.
+    :param on_caught_up: called after each read that reached the topic's end.
     :param should_pause_reading: whether to send no reads for now, because
         peers read the topic for this process.
+    :param on_records_behind: called after each read with the number of records
+        that the topic has beyond those read.
     """
 
     def __init__(
@@ -95,8 +98,9 @@
         min_interval: Callable[[], datetime.timedelta],
         poll_wait: Callable[[], datetime.timedelta],
         should_restart_read: Callable[[], bool] = lambda: False,
-        on_answer: Callable[[], None] = lambda: None,
+        on_caught_up: Callable[[], None] = lambda: None,
         should_pause_reading: Callable[[], bool] = lambda: False,
+        on_records_behind: Callable[[int], None] = lambda count: None,
     ) -> None:
         self._should_pause_reading = should_pause_reading
         self._store = store
@@ -106,57 +110,70 @@
         self._min_interval = min_interval
         self._poll_wait = poll_wait
         self._should_restart_read = should_restart_read
-        self._on_answer = on_answer
-        self._next_position: positions.Position | None = None
+        self._on_caught_up = on_caught_up
+        self._on_records_behind = on_records_behind
+        self._progress = topic_reads.ReadProgress()
         self._last_read_answered = True
 
     async def run(self) -> None:
         """Follow the topic until cancelled."""
         retry_wait_s = _RETRY_INITIAL_S
         while True:
-            if (
-                self._next_position is not None
-                and self._should_pause_reading()
-            ):
+            if self._is_caught_up() and self._should_pause_reading():
                 await asyncio.sleep(_CHECK_INTERVAL_S)
                 continue
             try:
-                await self._read()
+                listed = await self._read()
                 self._last_read_answered = True
-                self._on_answer()
                 self._store_health.record_success()
-                retry_wait_s = _RETRY_INITIAL_S
-                await asyncio.sleep(self._min_interval().total_seconds())
+                if self._is_caught_up():
+                    self._on_caught_up()
+                    # A listing does not show that reads work.
+                    if not listed:
+                        retry_wait_s = _RETRY_INITIAL_S
+                    await asyncio.sleep(self._min_interval().total_seconds())
             except errors.OffsetExpiredError:
                 # The store no longer has the records since then, or has a
-                # new era: read a snapshot.
-                self._next_position = None
+                # new era.
+                self._progress.note_gap()
+            except errors.RecordsWithheldError as exc:
+                self._progress.note_gap()
+                logging.error("store withholds records", extra=_why(exc))
+                retry_wait_s = await _wait_to_retry(retry_wait_s)
             except errors.LogUnavailableError as exc:
                 self._last_read_answered = False
                 self._store_health.record_failure(str(exc))
                 logging.info(
                     "store read failed",
-                    extra={"topic": self._topic, "why": str(exc)},
+                    extra={"topic": self._topic, **_why(exc)},
                 )
-                # Jitter keeps the processes from retrying all at once.
-                await asyncio.sleep(retry_wait_s * random.uniform(0.5, 1.0))
-                retry_wait_s = min(2 * retry_wait_s, _RETRY_MAX_S)
+                retry_wait_s = await _wait_to_retry(retry_wait_s)
 
-    async def _read(self) -> None:
-        if self._next_position is None:
+    def _is_caught_up(self) -> bool:
+        return self._progress.step is topic_reads.ReadStep.FOLLOW
+
+    async def _read(self) -> bool:
+        """Do the next read; return whether it was a listing."""
+        start = self._progress.position
+        if start is None:
             result = await self._store.read_newest(self._topic)
             self._on_read(result, True)
+            self._progress.note_listing(result.end)
         else:
-            result = await self._read_from(self._next_position)
+            result = await self._read_from(start)
             self._on_read(result, False)
-        self._next_position = max(
-            result.end, self._next_position or positions.START
-        )
+            self._progress.note_records(
+                result.end,
+                count=len(result.records),
+                records_left=result.records_left,
+            )
+        self._on_records_behind(self._progress.records_behind)
+        return start is None
 
     async def _read_from(
         self, start: positions.Position
     ) -> platform.ReadResult:
-        if not self._last_read_answered:
+        if not self._last_read_answered or not self._is_caught_up():
             # A long poll that is sent during an outage would hang past its
             # end and keep this process from newer state.
             return await self._store.read_from(
@@ -195,3 +212,14 @@
         logging.info("store read restarted", extra={"topic": self._topic})
         self._store.close()
         return await self._store.read_from(self._topic, start, wait=_NO_WAIT)
+
+
+def _why(exc: errors.LugcrossError) -> dict[str, str]:
+    return {"why": str(exc)}
+
+
+async def _wait_to_retry(wait_s: float) -> float:
+    """Wait before the next call; return the wait after a further failure."""
+    # Jitter keeps the processes from retrying all at once.
+    await asyncio.sleep(wait_s * random.uniform(0.5, 1.0))
+    return min(2 * wait_s, _RETRY_MAX_S)
--- a/src/lugcross/errors.py
+++ b/src/lugcross/errors.py
@@ -67,6 +67,10 @@
     """The requested records are older than the log's retention period."""
 
 
+class RecordsWithheldError(PlatformError):
+    """A read returned no records although the topic has some."""
+
+
 class ReplayGapError(LugcrossError):
     """Records are missing between the replayed state and the next record."""
 
--- a/src/lugcross/platform/store_client.py
+++ b/src/lugcross/platform/store_client.py
@@ -49,11 +49,15 @@
 class ReadResult:
     """Records of one read of a topic.
 
-    :param end: position that the topic's next record will get.
+    :param end: position up to which the read returned all that was asked for;
+        the next read starts there.
+    :param records_left: number of records from ``end`` on that the topic had
+        but the answer left out, as the store limits its size.
     """
 
     end: positions.Position
     records: tuple[KeyedRecord, ...]
+    records_left: int = 0
 
 
 class _NewestItem(msgspec.Struct, frozen=True):
@@ -123,8 +127,10 @@
                 _decode_newest_item(item, era) for item in page.items
             )
             end = _make_position(era, page.end) if end is None else end
-            if not page.has_more or not page.items:
+            if not page.has_more:
                 return ReadResult(end=end, records=tuple(records))
+            if not page.items:
+                raise _log_unavailable_error("empty page of a longer listing")
             after = page.items[-1].private_key
 
     async def read_from(
@@ -135,13 +141,15 @@
         wait: datetime.timedelta,
         answer_timeout: datetime.timedelta | None = None,
     ) -> ReadResult:
-        """Return the records from ``start`` on.
+        """Return records from ``start`` on, as many as fit in one answer.
 
         :param wait: how long the store waits for a record if there is none.
         :param answer_timeout: longest wait for the response, added to
             ``wait``; the client's ``timeout`` if none.
         :raises errors.OffsetExpiredError: when the store no longer has
             ``start``, or ``start`` is of an earlier era.
+        :raises errors.RecordsWithheldError: when the answer has no record
+            although the topic has some.
         :raises errors.LogUnavailableError: when the call fails.
         """
         era = positions.era(start)
@@ -159,7 +167,19 @@
             raise _offset_expired_error(topic, start)
         if status != http.HTTPStatus.OK:
             raise _log_unavailable_error(f"status {status}")
-        return _decode_records(body, start)
+        result = _decode_records(topic, body, start)
+        if result.records_left:
+            logging.info(
+                "store read incomplete",
+                extra={
+                    "topic": topic,
+                    "from": positions.offset(start),
+                    "records": len(result.records),
+                    "end": positions.offset(result.end) + result.records_left,
+                    "bytes": len(body),
+                },
+            )
+        return result
 
     def _update_era(self, answer: http1.ResponseHead) -> None:
         """Take over a later era from a response; call ``on_new_era``.
@@ -338,20 +358,28 @@
         raise _log_unavailable_error(f"malformed response: {exc}") from exc
 
 
-def _decode_records(body: bytes, start: positions.Position) -> ReadResult:
+def _decode_records(
+    topic: str, body: bytes, start: positions.Position
+) -> ReadResult:
     """Decode the response to a read from ``start``.
 
     The response is the end of the topic and its oldest offset (8 bytes each),
     then the records, each after its length (4 bytes). Integers are big-endian.
+    The end is that of the topic, also where the records end before it.
 
     :raises errors.LogUnavailableError: when it is malformed.
+    :raises errors.OffsetExpiredError: when it begins after ``start``.
+    :raises errors.RecordsWithheldError: when it has no record although the
+        topic has some.
     """
     try:
         era = positions.era(start)
-        end, first = _READ_BOUNDS.unpack_from(body)
+        topic_end, first = _READ_BOUNDS.unpack_from(body)
         records = []
         pos = _READ_BOUNDS.size
-        offset = max(positions.offset(start), first)
+        offset = int(positions.offset(start))
+        if first > offset:
+            raise _offset_expired_error(topic, start)
         while pos < len(body):
             (size,) = _RECORD_LENGTH.unpack_from(body, pos)
             pos += _RECORD_LENGTH.size
@@ -365,7 +393,13 @@
             offset += 1
     except struct.error as exc:
         raise _log_unavailable_error(f"malformed records: {exc}") from exc
-    return ReadResult(end=_make_position(era, end), records=tuple(records))
+    if not records and topic_end > offset:
+        raise _records_withheld_error(topic, offset, topic_end)
+    return ReadResult(
+        end=_make_position(era, offset),
+        records=tuple(records),
+        records_left=max(0, topic_end - offset),
+    )
 
 
 def _decode_record(offset: positions.Position, record: bytes) -> KeyedRecord:
@@ -391,6 +425,17 @@
     )
 
 
+def _records_withheld_error(
+    topic: str, offset: int, topic_end: int
+) -> errors.LugcrossError:
+    return errors.RecordsWithheldError(
+        f"the store returned no record of topic {topic} from offset {offset}"
+        f" on, although it ends at {topic_end}",
+        remedy="read the newest record of each key instead, and check the"
+        " size of the topic's records",
+    )
+
+
 def _append_conflict_error(topic: str) -> errors.LugcrossError:
     return errors.AppendConflictError(
         f"the end of topic {topic} has changed since it was read",
--- a/src/lugcross/standin/store.py
+++ b/src/lugcross/standin/store.py
@@ -21,6 +21,14 @@
 
 _RECORD_LENGTH = struct.Struct(">I")
 _READ_BOUNDS = struct.Struct(">QQ")
+#: Records in one answer to a read, in bytes, unless the read wants fewer.
+MAX_READ_BYTES = 1_024 * 1_024
+#: Keys in one page of newest records.
+MAX_PAGE_KEYS = 500
+#: Records in one page of newest records, in bytes of base64.
+MAX_PAGE_BYTES = 1_000_000
+#: Longest wait of a read for new records.
+MAX_WAIT_S = 30.0
 _LIMITS = desired.RequestLimits(
     max_head_bytes=16_384,
     max_body_bytes=4_194_304,
@@ -58,6 +66,11 @@
 
     :ivar unavailable: whether all calls get 503.
     :ivar page_size: keys per page of newest records.
+    :ivar page_bytes: records per page of newest records, in bytes of base64.
+    :ivar max_read_bytes: records in one answer to a read, in bytes. An answer
+        has at least one record, if there is one.
+    :ivar withholds_large_records: whether an answer has no record at all where
+        the first is larger than the limit.
     :ivar era: value of the era header in all responses; none to send no era.
     :ivar called_paths: path of each call.
     """
@@ -68,7 +81,10 @@
         self._clock = clock_lib.SystemClock()
         self.unavailable = False
         self.era: str | None = None
-        self.page_size = 500
+        self.page_size = MAX_PAGE_KEYS
+        self.page_bytes = MAX_PAGE_BYTES
+        self.max_read_bytes = MAX_READ_BYTES
+        self.withholds_large_records = False
         self.called_paths: list[str] = []
 
     async def start(self, host: str) -> str:
@@ -162,15 +178,16 @@
         topic = self._topic(query["topic"])
         after = query.get("after_revision", "")
         keys = sorted(key for key in topic.newest if key > after)
-        items = [
-            {
-                "private_key": key,
-                "value": base64.b64encode(topic.newest[key][1]).decode(),
-                "offset": topic.newest[key][0],
-            }
-            for key in keys[: self.page_size]
-        ]
-        more = len(keys) > self.page_size
+        items: list[dict[str, object]] = []
+        size = 0
+        for key in keys[: self.page_size]:
+            offset, value = topic.newest[key]
+            text = base64.b64encode(value).decode()
+            size += len(text)
+            if items and size > self.page_bytes:
+                break
+            items.append({"private_key": key, "value": text, "offset": offset})
+        more = len(keys) > len(items)
         page = {"items": items, "has_more": more, "end": topic.end}
         return http.HTTPStatus.OK, json.dumps(page).encode()
 
@@ -182,7 +199,7 @@
         if not topic.first_offset <= start <= topic.end:
             gone = json.dumps({"first": topic.first_offset}).encode()
             return http.HTTPStatus.GONE, gone
-        wait_s = int(query.get("wait_ms", "0")) / 1000
+        wait_s = min(int(query.get("wait_ms", "0")) / 1000, MAX_WAIT_S)
         if start >= topic.end and wait_s:
             try:
                 async with asyncio.timeout(wait_s):
@@ -193,11 +210,24 @@
             query = {**query, "wait_ms": "0"}
             return await self._read(query)
         body = _READ_BOUNDS.pack(topic.end, topic.first_offset)
+        limit = min(
+            self.max_read_bytes,
+            int(query.get("maximum_kilobytes", "1024")) * 1_024,
+        )
+        return http.HTTPStatus.OK, body + self._records(topic, start, limit)
+
+    def _records(self, topic: _Topic, start: int, limit: int) -> bytes:
+        """Return the encoded records from ``start`` on that fit in a limit."""
+        found = b""
         for key, value in topic.records[start:]:
             name = key.encode()
             record = bytes((len(name),)) + name + value
-            body += _RECORD_LENGTH.pack(len(record)) + record
-        return http.HTTPStatus.OK, body
+            encoded = _RECORD_LENGTH.pack(len(record)) + record
+            is_first = not found and not self.withholds_large_records
+            if len(found) + len(encoded) > limit and not is_first:
+                break
+            found += encoded
+        return found
 
     def _append(
         self, query: dict[str, str], body: bytes
--- a/testing/edge/test_leader_candidates.py
+++ b/testing/edge/test_leader_candidates.py
@@ -134,10 +134,12 @@
     *,
     reads_store: bool = True,
     old_build: bool = False,
+    may_skip: bool = False,
 ) -> None:
     """Receive heartbeats of two processes that sort first as store readers.
 
     :param old_build: whether they report no evacuations.
+    :param may_skip: whether they are of a build that may skip records.
     """
     for num in range(2):
         heartbeat = messages.Heartbeat(
@@ -152,6 +154,7 @@
             known_addresses=[],
             reads_store=reads_store,
             evacuations=None if old_build else [],
+            has_all_records=not old_build and not may_skip,
         )
         data = cbor2.dumps(msgspec.to_builtins(heartbeat))
         node.state_sync.peers.datagram_received(data, (f"10.0.1.{num}", 9))
@@ -175,6 +178,12 @@
     assert node.state_sync.peers_read_store() == peers_read_store
 
 
+def test_store_is_not_left_to_readers_that_may_skip_records() -> None:
+    node = Node(fenced=False)
+    _hear_readers(node, "d1", may_skip=True)
+    assert not node.state_sync.peers_read_store()
+
+
 def test_store_is_read_again_once_the_readers_are_silent() -> None:
     node = Node(fenced=False)
     _hear_readers(node, "d1")
--- a/testing/edge/test_process.py
+++ b/testing/edge/test_process.py
@@ -134,6 +134,59 @@
         """Leave the connection open."""
 
 
+def _desired_version(metrics: bytes) -> int:
+    """Return the version of the desired state in force, from the metrics."""
+    name = b"lugcross_desired_version "
+    values = [
+        line.removeprefix(name)
+        for line in metrics.splitlines()
+        if line.startswith(name)
+    ]
+    return int(float(values[0]))
+
+
+def test_desired_state_beyond_a_cut_answer_is_in_force(tmp_path):
+    # Symptom: the newest desired state was never in force. Sequence: more
+    # than one answer of the store holds was written during an outage. Cause:
+    # the next read started at the end of the topic, not of the answer.
+    async def main():
+        store = standin.StoreStandin()
+        address = await store.start(rig.HOST)
+        store.append("keyed.op", "config", DESIRED)
+        entry = rig.backend_entry("app", f"{rig.HOST}:1", "d1", slots=2)
+        store.append("keyed.servers", "i-1", entry)
+        names = ("callers", "ready", "state", "metrics")
+        ports = {name: rig.reserve_port() for name in names}
+        proc = await _start(
+            tmp_path / "edge.yaml", SETTINGS.format(store=address, **ports)
+        )
+        await _until_status(ports["ready"], 200)
+        store.unavailable = True
+        padding = b" " * (standin.MAX_READ_BYTES // 11)
+        for version in range(2, 18):
+            state = DESIRED.replace(b'"version":1', b'"version":%d' % version)
+            store.append("keyed.op", "config", state + padding)
+        await asyncio.sleep(1.0)
+        store.unavailable = False
+        found = 0
+        async with asyncio.timeout(30):
+            while found != version:
+                figures = await _get(ports["metrics"], b"/metrics")
+                found = _desired_version(figures.body)
+                await asyncio.sleep(0.05)
+        proc.send_signal(signal.SIGTERM)
+        logs, _ = await proc.communicate()
+        store.close()
+        return figures.body, logs.decode()
+
+    figures, logs = asyncio.run(main())
+    assert (
+        b'lugcross_edge_topic_records_behind{topic="keyed.op"} 0.0' in figures
+    )
+    cut = next(line for line in logs.splitlines() if "incomplete" in line)
+    assert '"from": 1, "records": 10, "end": 17' in cut
+
+
 def test_bad_settings_name_file_field_and_remedy(tmp_path):
     path = tmp_path / "edge.yaml"
     good = SETTINGS.format(
--- a/testing/platform/test_store_client.py
+++ b/testing/platform/test_store_client.py
@@ -93,6 +93,61 @@
     assert _run_with_store(action)
 
 
+def test_read_cut_by_the_store_ends_after_its_last_record():
+    # Symptom: records were skipped for good. Sequence: a read returned fewer
+    # records than the topic had. Cause: its end was that of the topic.
+    async def action(store, client):
+        store.max_read_bytes = 3 * 100
+        for num in range(8):
+            store.append(TOPIC, "a", bytes([num]) * (100 - 4 - 2))
+        found = []
+        start = ids.Offset(0)
+        while True:
+            result = await client.read_from(TOPIC, start, wait=NO_WAIT)
+            found += [one.value[0] for one in result.records]
+            sizes.append(
+                (len(result.records), result.end, result.records_left)
+            )
+            start = result.end
+            if not result.records_left:
+                return found
+
+    sizes: list[tuple[int, int, int]] = []
+    assert _run_with_store(action) == list(range(8))
+    assert sizes == [(3, 3, 5), (3, 6, 2), (2, 8, 0)]
+
+
+@pytest.mark.parametrize(
+    ("withheld", "count"), [(False, 1), (True, 0)], ids=["returned", "not"]
+)
+def test_record_larger_than_an_answer(withheld, count):
+    async def action(store, client):
+        store.withholds_large_records = withheld
+        store.append(TOPIC, "a", b"x" * (standin.MAX_READ_BYTES + 1))
+        store.append(TOPIC, "a", b"1")
+        try:
+            result = await client.read_from(TOPIC, ids.Offset(0), wait=NO_WAIT)
+        except errors.RecordsWithheldError as exc:
+            assert "from offset 0 on, although it ends at 2" in str(exc)
+            return 0
+        assert (result.end, result.records_left) == (1, 1)
+        return len(result.records)
+
+    assert _run_with_store(action) == count
+
+
+def test_listing_in_pages_that_are_limited_in_bytes_has_all_keys():
+    async def action(store, client):
+        keys = [f"k{num:02}" for num in range(20)]
+        for key in keys:
+            store.append(TOPIC, key, b"x" * (standin.MAX_PAGE_BYTES // 4))
+        result = await client.read_newest(TOPIC)
+        assert len(store.called_paths) > 2
+        return [one.key for one in result.records] == keys
+
+    assert _run_with_store(action)
+
+
 def test_appended_record_is_read_back():
     async def action(store, client):
         await client.append(TOPIC, "k", b"value")
@@ -263,3 +318,33 @@
     result = virtual_time.run(main())
     assert [one.key for one in result.records] == ["a", "b"]
     assert result.records[1].value == b"{}"
+
+
+def test_empty_page_of_a_longer_listing_is_rejected(monkeypatch):
+    # A listing that lacks keys would remove their servers.
+    page = json.dumps({"items": [], "has_more": True, "end": 2})
+
+    async def main() -> None:
+        client = _client_with_fixed_response(monkeypatch, page.encode())
+        with pytest.raises(errors.LogUnavailableError, match="empty page"):
+            await client.read_newest("t")
+
+    virtual_time.run(main())
+
+
+def test_answer_that_begins_after_the_wanted_record_is_expired(monkeypatch):
+    # The records between are gone; the others must not hide that.
+    record = b"\x01a{}"
+    answer = (
+        (4).to_bytes(8, "big")
+        + (3).to_bytes(8, "big")
+        + _pack_uint32(len(record))
+        + record
+    )
+
+    async def main() -> None:
+        client = _client_with_fixed_response(monkeypatch, answer)
+        with pytest.raises(errors.OffsetExpiredError):
+            await client.read_from("t", ids.Offset(1), wait=NO_WAIT)
+
+    virtual_time.run(main())
--- a/testing/support/fleet_rig.py
+++ b/testing/support/fleet_rig.py
@@ -182,6 +182,8 @@
         }
         #: Names of processes that reach neither peers nor the store.
         self.cut_nodes: set[str] = set()
+        #: Names of processes that run an old build.
+        self.old_nodes: set[str] = set()
         #: Loop time until which the link of a process is in use.
         self._link_busy_until: dict[str, float] = {}
         monkeypatch.setattr(http1, "connect", self.store.connect)
