Tell answers to callers from those to orders and queries

Cause: calls to engines share connections with callers' requests and took the first answer there. A repeated answer to a caller, which names the caller's request, counted as that to the order to arm a rank. In the other direction a caller's request took an answer without a name, which may be the late one to an order.

Change: answer_matching.is_own_answer decides for both. A call skips named answers. A caller's request after a call skips answers without a name.

Not covered: the repeated answer to a call in the place of the next call's, which no name tells apart.

--- a/Makefile
+++ b/Makefile
@@ -20,9 +20,10 @@
 # one by one: some of these tests start a process again at the port that it
 # had, which a test beside them may have taken meanwhile.
 TEST_JOBS ?= 4
-DECISIONS := $(addprefix testing/,agent cfg connection_limits crash_suspects \
-    edge entry experts evacuation held_bytes membership placement rate_limits \
-    reachability routing shares topic_reads urgency)
+DECISIONS := $(addprefix testing/,agent answer_matching cfg \
+    connection_limits crash_suspects edge entry experts evacuation held_bytes \
+    membership placement rate_limits reachability routing shares topic_reads \
+    urgency)
 ALONE := $(addprefix testing/edge/,test_process.py test_state_sync.py)
 
 test: venv
--- a/src/lugcross/edge/attempt.py
+++ b/src/lugcross/edge/attempt.py
@@ -9,6 +9,7 @@
 
 from absl import logging
 
+from lugcross import answer_matching
 from lugcross import clock as clock_lib
 from lugcross import crash_suspects
 from lugcross import desired
@@ -257,10 +258,12 @@
             parsed_head = platform.parse_backend_response_head(
                 http_head.status, http_head.headers
             )
-            if parsed_head.attempt_id in (
-                "",
+            if answer_matching.is_own_answer(
+                parsed_head.attempt_id,
                 self._checked.caller_head.attempt_id,
+                last_answer_named=conn.last_answer_named,
             ):
+                conn.last_answer_named = bool(parsed_head.attempt_id)
                 return http_head, parsed_head
             logging.warning(
                 "answer to another request skipped",
--- a/src/lugcross/edge/engine_transport.py
+++ b/src/lugcross/edge/engine_transport.py
@@ -5,6 +5,9 @@
 from collections.abc import Callable
 from typing import final
 
+from absl import logging
+
+from lugcross import answer_matching
 from lugcross import desired
 from lugcross.edge import connection_pool
 from lugcross import http1
@@ -67,7 +70,9 @@
         try:
             async with asyncio.timeout(self._timeout_s):
                 conn.send(method.encode(), target.encode(), headers, body)
-                response = await conn.read_head()
+                response, head = await self._read_own_head(
+                    conn, backend, method
+                )
                 response_body = await conn.read_body()
         except TimeoutError as exc:
             conn.close()
@@ -79,9 +84,30 @@
         except BaseException:
             conn.close()
             raise
-        head = platform.parse_backend_response_head(
-            response.status, response.headers
-        )
+        conn.last_answer_named = False
         self._pool.release(backend, conn, head.keep_alive)
         self._on_response_head(backend, head)
         return response.status, response_body
+
+    async def _read_own_head(
+        self, conn: http1.ClientConn, backend: desired.Backend, method: str
+    ) -> tuple[http1.ResponseHead, platform.BackendResponseHead]:
+        """Read the head; skip answers to callers' requests.
+
+        :returns: the head, as received and parsed.
+        """
+        while True:
+            response = await conn.read_head()
+            head = platform.parse_backend_response_head(
+                response.status, response.headers
+            )
+            if answer_matching.is_own_answer(
+                head.attempt_id, "", last_answer_named=conn.last_answer_named
+            ):
+                return response, head
+            logging.warning(
+                "answer to another request skipped",
+                extra={"backend": backend.key, "other": head.attempt_id},
+            )
+            await conn.read_body()
+            conn.expect_another_response(method.encode())
--- a/src/lugcross/http1/client.py
+++ b/src/lugcross/http1/client.py
@@ -127,6 +127,9 @@
         self._outbox = outbox.Outbox(writer)
         self._h11 = _h11_connection()
         self.request_count = 0
+        #: Whether the last answer named its request, or there was none. The
+        #: owner sets it, since names are not part of HTTP.
+        self.last_answer_named = True
         #: Bounds what is held of the present response; None for no bound.
         self.memory: ResponseMemory | None = None
         #: Size of the last request, head and body.
--- a/testing/support/crash_rig.py
+++ b/testing/support/crash_rig.py
@@ -153,6 +153,7 @@
 
     closing = False
     has_unread_data = False
+    last_answer_named = True
 
     def __init__(self, fleet: "Fleet", server: Server) -> None:
         self._fleet = fleet
