Drop old requests from the retry budget without retries, too

Seen by the review, by reading: a process without failures keeps the time of each request for ever. Cause: WindowedRetryBudget dropped old times only when a retry was asked for. Change: also when a request is recorded.

Evidence: the new test keeps 24,000 times before, 2,001 at most now, and still grants the retries of the window.

--- a/src/lugcross/routing/windowed_retry_budget.py
+++ b/src/lugcross/routing/windowed_retry_budget.py
@@ -56,6 +56,8 @@
     def record_request(self, now: clock_lib.Instant) -> None:
         """Record one request from a caller."""
         self._request_times.append(now)
+        # Here too, as no retry may ever be asked for.
+        self._drop_old(self._request_times, now)
 
     def try_spend(
         self,
@@ -73,8 +75,7 @@
             not have heard of them.
         """
         for times in (self._request_times, self._retry_times):
-            while times and now - times[0] > self._window:
-                times.popleft()
+            self._drop_old(times, now)
         earned = _FREE_RETRIES_PER_WINDOW + self._ratio * len(
             self._request_times
         )
@@ -84,3 +85,11 @@
             return False
         self._retry_times.append(now)
         return True
+
+    def _drop_old(
+        self,
+        times: collections.deque[clock_lib.Instant],
+        now: clock_lib.Instant,
+    ) -> None:
+        while times and now - times[0] > self._window:
+            times.popleft()
--- a/testing/routing/test_windowed_retry_budget.py
+++ b/testing/routing/test_windowed_retry_budget.py
@@ -102,3 +102,20 @@
     broken = sum(budget.try_spend(now, peers=3) for _ in range(99))
     assert refused >= 1
     assert broken >= refused
+
+
+def test_memory_does_not_grow_while_no_retry_is_asked_for():
+    # Symptom: a process without failures grew by its requests. Sequence:
+    # requests for an hour without a retry. Cause: the times of old requests
+    # were dropped only when a retry was asked for.
+    window_s, requests_per_s, seconds = 10.0, 200, 120
+    budget = routing.WindowedRetryBudget(ratio=0.2, window_s=window_s)
+    sizes = []
+    for num in range(requests_per_s * seconds):
+        budget.record_request(datetime.timedelta(seconds=num / requests_per_s))
+        sizes.append(len(budget._request_times))
+    assert max(sizes) <= window_s * requests_per_s + 1
+    # What it kept is enough for the retries of the window.
+    now = datetime.timedelta(seconds=seconds)
+    allowed = sum(budget.try_spend(now) for _ in range(1000))
+    assert allowed == round(1 + 0.8 * 0.2 * window_s * requests_per_s)
