Count the drain time from the store's confirmation

Cause: a removal passed on by a peer always counted as one that may have happened only because the store was away, so that removed servers were used while they outnumber the ready ones; and the time for that ran from when each process heard of it (reader 0.4 s late, peers 0.5 s later).

Change: drain_times tells the greatest age of a record, for a reader and through peers; a peer tells whether it took a removal for uncertain; the drain time is asked again just before a request is sent. Old builds tell no age: their records count as old.

--- a/Makefile
+++ b/Makefile
@@ -21,9 +21,9 @@
 # had, which a test beside them may have taken meanwhile.
 TEST_JOBS ?= 4
 DECISIONS := $(addprefix testing/,agent answer_matching cfg \
-    connection_limits crash_suspects edge entry experts evacuation held_bytes \
-    membership placement rate_limits reachability routing shares topic_reads \
-    urgency)
+    connection_limits crash_suspects drain_times edge entry experts \
+    evacuation held_bytes membership placement rate_limits reachability \
+    routing shares topic_reads urgency)
 ALONE := $(addprefix testing/edge/,test_process.py test_state_sync.py)
 
 test: venv
--- a/src/lugcross/edge/app.py
+++ b/src/lugcross/edge/app.py
@@ -239,7 +239,7 @@
     def _background_loops(self) -> list[Coroutine[Any, Any, None]]:
         state_sync = self.state_sync
         followers = store_followers.make_followers(
-            self._store, self.edge_state, state_sync
+            self._store, self.edge_state, state_sync, clock=self._clock
         )
         return [
             *(follower.run() for follower in followers),
--- a/src/lugcross/edge/attempt.py
+++ b/src/lugcross/edge/attempt.py
@@ -117,13 +117,14 @@
             if (
                 edge_state.selection.is_evacuated(self._backend)
                 or edge_state.backoffs.is_active(self._backend.key)
+                or edge_state.backends.has_drained(self._backend.key)
                 or not self._may_send()
                 or not edge_state.limits.try_spend(self._backend.key)
             ):
-                # The server was evacuated, asked for a backoff or reached its
-                # limit while this attempt waited for its connection, or a
-                # crash was reported that the request may have caused; many
-                # others may have waited with it.
+                # The server was evacuated, asked for a backoff, has drained or
+                # reached its limit while this attempt waited for its
+                # connection, or a crash was reported that the request may have
+                # caused; many others may have waited with it.
                 edge_state.pool.release(self._backend, conn, None)
                 return retry_policy.AttemptOutcome.UNREACHED
             return await self._run_on(conn)
--- a/src/lugcross/edge/backends.py
+++ b/src/lugcross/edge/backends.py
@@ -2,6 +2,7 @@
 """The list of backend servers, built from the records of the store."""
 
 from collections.abc import Callable
+from collections.abc import Iterable
 import dataclasses
 import datetime
 from typing import final
@@ -10,6 +11,7 @@
 
 from lugcross import clock as clock_lib
 from lugcross import desired
+from lugcross import drain_times
 from lugcross import errors
 from lugcross import ids
 from lugcross import platform
@@ -38,6 +40,7 @@
 #: Time for which a selection that depends on time is cached; short against
 #: the drain bound.
 _USABLE_TTL = datetime.timedelta(milliseconds=50)
+_MS = datetime.timedelta(milliseconds=1)
 
 
 @final
@@ -46,8 +49,9 @@
     """The newest known life of a backend server and the state of its entry.
 
     :param position: position of the newest record of the server.
-    :param leaving_at: when this process learned that the life is leaving or
-        that its entry was removed; None while it is ready.
+    :param leaving_at: when the store confirmed that the life is leaving or
+        that its entry was removed, or the server itself said so, as early as
+        it may have been; None while it is ready.
     :param removed: whether the entry was removed from the list.
     :param removal_is_uncertain: whether the entry may be missing although the
         server is alive: it could not renew the entry while the store was away,
@@ -132,11 +136,14 @@
         # Removals get the position before the end: the next record of the
         # store takes the end itself, and may be for the same key.
         last = positions.position_before(result.end)
+        confirmation = drain_times.Confirmation(
+            _age_to_count(result, store_was_away), store_was_away
+        )
         for entry in list(self._entries.values()):
             backend_id = entry.backend.id
             if backend_id not in listed and entry.position < result.end:
                 gone = platform.KeyedRecord(last, backend_id, b"")
-                self._apply_record(gone, store_was_away)
+                self._apply_record(gone, confirmation)
         self.apply(result, store_was_away=store_was_away)
 
     def apply(
@@ -146,9 +153,29 @@
 
         :param store_was_away: as for :meth:`replace`.
         """
-        for record in sorted(result.records, key=lambda one: one.position):
-            self._apply_record(record, store_was_away)
-        self.end = max(self.end, result.end)
+        confirmation = drain_times.Confirmation(
+            _age_to_count(result, store_was_away), store_was_away
+        )
+        self.apply_confirmed(
+            [(record, confirmation) for record in result.records], result.end
+        )
+
+    def apply_confirmed(
+        self,
+        records: Iterable[
+            tuple[platform.KeyedRecord, drain_times.Confirmation]
+        ],
+        end: positions.Position,
+    ) -> None:
+        """Apply records, each with how this process learned of it.
+
+        :param end: position before which no record is missing.
+        """
+        for record, confirmation in sorted(
+            records, key=lambda one: one[0].position
+        ):
+            self._apply_record(record, confirmation)
+        self.end = max(self.end, end)
         self.updated_at = self._clock.monotonic()
         self._forget_removed()
 
@@ -290,6 +317,38 @@
             entry.leaving_at = now
         self._usable.pop(entry.backend.service, None)
 
+    def confirmation(self, key: str) -> drain_times.Confirmation:
+        """Return how long ago the newest record of a server was confirmed.
+
+        :param key: key of the record, whose age matters only if its server
+            is leaving or has left.
+        """
+        life = self._newest_lives.get(desired.BackendId(key))
+        entry = self._entries.get(life.key) if life else None
+        if entry is None:
+            return drain_times.Confirmation(drain_times.UNKNOWN_AGE)
+        if entry.leaving_at is None:
+            return drain_times.Confirmation()
+        return drain_times.Confirmation(
+            min(
+                self._clock.monotonic() - entry.leaving_at,
+                drain_times.UNKNOWN_AGE,
+            ),
+            entry.removal_is_uncertain,
+        )
+
+    def has_drained(self, key: desired.BackendKey) -> bool:
+        """Return whether a server must get no requests any more."""
+        entry = self._entries.get(key)
+        if entry is None:
+            return True
+        if entry.leaving_at is None or entry.lost_in_restore:
+            return False
+        return (
+            self._clock.monotonic() - entry.leaving_at
+            >= self._max_drain_time() * _UNCERTAIN_REMOVAL_USE_RATIO
+        )
+
     def leaving_but_listed_ready(self) -> list[desired.BackendKey]:
         """Return servers that said they are leaving but are listed as ready.
 
@@ -317,7 +376,9 @@
         return now - entry.leaving_at < max_age
 
     def _apply_record(
-        self, record: platform.KeyedRecord, store_was_away: bool
+        self,
+        record: platform.KeyedRecord,
+        confirmation: drain_times.Confirmation,
     ) -> None:
         backend_id = desired.BackendId(record.key)
         life = self._newest_lives.get(backend_id)
@@ -338,7 +399,7 @@
                 backend_id,
                 entry,
                 record.position,
-                store_was_away,
+                confirmation,
                 is_new_era=is_new_era,
             )
             return
@@ -354,7 +415,8 @@
                     "why": exc.what[:_MAX_LOGGED_CHARS],
                 },
             )
-            self._remove(backend_id, entry, record.position, False)
+            certain = dataclasses.replace(confirmation, store_was_away=False)
+            self._remove(backend_id, entry, record.position, certain)
             return
         if backend is None:
             self._skip_earlier_life(record, entry)
@@ -363,7 +425,13 @@
             self.forget(life.key, "the server has started again")
             entry = None
             is_new_era = False
-        self._put_entry(backend, entry, record.position, is_new_era=is_new_era)
+        self._put_entry(
+            backend,
+            entry,
+            record.position,
+            confirmation,
+            is_new_era=is_new_era,
+        )
 
     def _read_life(
         self, record: platform.KeyedRecord, life: desired.Backend | None
@@ -405,6 +473,7 @@
         backend: desired.Backend,
         entry: _Entry | None,
         position: positions.Position,
+        confirmation: drain_times.Confirmation,
         *,
         is_new_era: bool,
     ) -> None:
@@ -431,7 +500,9 @@
         self._entries[backend.key] = _Entry(
             backend,
             position,
-            (now if since is None else since) if leaving else None,
+            (now - confirmation.max_age if since is None else since)
+            if leaving
+            else None,
             reappeared_at=now
             if is_new_era and self._has_ended(entry)
             else None,
@@ -463,7 +534,7 @@
         backend_id: desired.BackendId,
         entry: _Entry | None,
         position: positions.Position,
-        store_was_away: bool,
+        confirmation: drain_times.Confirmation,
         *,
         is_new_era: bool = False,
     ) -> None:
@@ -476,11 +547,11 @@
         self._usable.pop(entry.backend.service, None)
         entry.removed = True
         entry.removal_is_uncertain = (
-            store_was_away or is_new_era
+            confirmation.store_was_away or is_new_era
         ) and entry.leaving_at is None
         entry.lost_in_restore = is_new_era
         if entry.leaving_at is None:
-            entry.leaving_at = self._clock.monotonic()
+            entry.leaving_at = self._clock.monotonic() - confirmation.max_age
         logging.info(
             "backend entry removed",
             extra={
@@ -488,6 +559,7 @@
                 "offset": positions.offset(position),
                 "era": positions.era(position),
                 "lapsed": entry.removal_is_uncertain,
+                "max_age_ms": confirmation.max_age // _MS,
             },
         )
 
@@ -502,6 +574,17 @@
                 self.forget(key, "its entry was removed from the list")
 
 
+def _age_to_count(
+    result: platform.ReadResult, store_was_away: bool
+) -> datetime.timedelta:
+    """Return the age that the drain time of records in a read counts.
+
+    While the store is away it confirms nothing, so that the time runs from
+    its return.
+    """
+    return datetime.timedelta() if store_was_away else result.max_age
+
+
 def _is_later_era(one: positions.Position, other: positions.Position) -> bool:
     """Return whether position ``one`` is of a later era than ``other``."""
     return positions.era(one) > positions.era(other)
--- a/src/lugcross/edge/messages.py
+++ b/src/lugcross/edge/messages.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from lugcross import crash_suspects
+from lugcross import drain_times
 from lugcross.edge import patches
 from lugcross import evacuation
 from lugcross import positions
@@ -32,6 +33,7 @@
         max_length=crash_suspects.FINGERPRINT_BYTES,
     ),
 ]
+_MAX_RECORD_AGE_MS = int(drain_times.UNKNOWN_AGE.total_seconds() * 1000)
 #: Longest name of a server's life or of its software version.
 _MAX_NAME_CHARS = 200
 _Name = Annotated[str, msgspec.Meta(max_length=_MAX_NAME_CHARS)]
@@ -261,11 +263,19 @@
 
 @final
 class BackendRecord(msgspec.Struct, frozen=True, array_like=True):
-    """Newest record of one backend server; the value is empty if removed."""
+    """Newest record of one backend server; the value is empty if removed.
+
+    :param age_ms: greatest time in milliseconds since the store confirmed that
+        the server is leaving or gone; negative if unknown.
+    :param uncertain: whether the entry may be missing only because the store
+        was away.
+    """
 
     key: str
     position: int
     value: bytes
+    age_ms: Annotated[int, msgspec.Meta(ge=-1, le=_MAX_RECORD_AGE_MS)] = -1
+    uncertain: bool = False
 
 
 @final
--- a/src/lugcross/edge/peer_sync.py
+++ b/src/lugcross/edge/peer_sync.py
@@ -4,6 +4,7 @@
 import asyncio
 from collections.abc import Callable
 import datetime
+import math
 import random
 from typing import final
 
@@ -11,6 +12,7 @@
 
 from lugcross import address
 from lugcross import clock as clock_lib
+from lugcross import drain_times
 from lugcross.edge import edge_state as edge_state_lib
 from lugcross.edge import messages
 from lugcross.edge import patches
@@ -28,6 +30,7 @@
 _STALE_BACKENDS_AGE = datetime.timedelta(seconds=5)
 #: Time after a start before seeds are asked; the store usually answers sooner.
 _SEEDS_DELAY_S = 0.5
+_MS = datetime.timedelta(milliseconds=1)
 
 
 @final
@@ -38,6 +41,8 @@
     :param depends_on_peers: whether this process gets updates only from peers
         now, because its calls to the store fail or because peers read the
         store for it.
+    :param store_was_away: whether calls of this process to the store failed
+        lately.
     """
 
     def __init__(
@@ -48,6 +53,7 @@
         *,
         adopt: Callable[[bytes], None],
         depends_on_peers: Callable[[], bool],
+        store_was_away: Callable[[], bool],
         clock: clock_lib.Clock,
         rng: random.Random,
     ) -> None:
@@ -56,6 +62,8 @@
         self._peers = peers
         self._adopt = adopt
         self._depends_on_peers = depends_on_peers
+        self._store_was_away = store_was_away
+        self._clock = clock
         self.selector = peer_selection.PeerSelector(clock, rng)
 
     def respond(self, req: messages.StateRequest) -> messages.StateResponse:
@@ -70,7 +78,7 @@
             desired=history.newest if sends_plain else b"",
             backends_end=self._edge_state.backends.end,
             backends=[
-                messages.BackendRecord(row.key, row.position, row.value)
+                self._backend_message(row)
                 for row in self._edge_state.backends.records.values()
                 if row.position >= req.backends_end
             ],
@@ -79,6 +87,18 @@
             has_all_records=True,
         )
 
+    def _backend_message(
+        self, row: platform.KeyedRecord
+    ) -> messages.BackendRecord:
+        confirmation = self._edge_state.backends.confirmation(row.key)
+        return messages.BackendRecord(
+            row.key,
+            row.position,
+            row.value,
+            age_ms=math.ceil(confirmation.max_age / _MS),
+            uncertain=confirmation.store_was_away,
+        )
+
     async def run(self) -> None:
         """Request newer state from peers until cancelled.
 
@@ -155,6 +175,7 @@
             self._edge_state.backends.end,
             history.digest,
         )
+        begun_at = self._clock.monotonic()
         response = await state_transfer.request_state(host, port, req)
         if response is None:
             return False
@@ -175,20 +196,39 @@
         )
         if record:
             self._adopt(record)
-        rows = tuple(
-            platform.KeyedRecord(
-                positions.Position(row.position), row.key, row.value
-            )
-            for row in response.backends
-        )
-        end = (
+        self._apply_backends(response, self._clock.monotonic() - begun_at)
+        return True
+
+    def _apply_backends(
+        self,
+        response: messages.StateResponse,
+        transfer_time: datetime.timedelta,
+    ) -> None:
+        backends = self._edge_state.backends
+        store_was_away = self._store_was_away()
+        backends.apply_confirmed(
+            [
+                (
+                    platform.KeyedRecord(
+                        positions.Position(row.position), row.key, row.value
+                    ),
+                    drain_times.relayed_confirmation(
+                        peers_age=_known_age(row),
+                        transfer_time=transfer_time,
+                        peer_was_uncertain=row.uncertain,
+                        store_was_away=store_was_away,
+                    ),
+                )
+                for row in response.backends
+            ],
             positions.Position(response.backends_end)
             if response.has_all_records
-            else self._edge_state.backends.end
+            else backends.end,
         )
-        result = platform.ReadResult(end=end, records=rows)
-        self._edge_state.backends.apply(result, store_was_away=True)
-        return True
+
+
+def _known_age(row: messages.BackendRecord) -> datetime.timedelta | None:
+    return row.age_ms * _MS if row.age_ms >= 0 else None
 
 
 def _desired_record(response: messages.StateResponse, base: bytes) -> bytes:
--- a/src/lugcross/edge/state_sync.py
+++ b/src/lugcross/edge/state_sync.py
@@ -158,6 +158,7 @@
             depends_on_peers=lambda: (
                 self.store_health.failing or self.peers_read_store()
             ),
+            store_was_away=self._store_was_away,
             clock=clock,
             rng=rng,
         )
@@ -315,8 +316,7 @@
 
         :param is_snapshot: whether ``result`` replaces the whole list.
         """
-        recovery = self._edge_state.bounds.store_recovery_time
-        away = self.store_health.failed_within(recovery)
+        away = self._store_was_away()
         if is_snapshot:
             self._edge_state.backends.replace(result, store_was_away=away)
         else:
@@ -324,6 +324,11 @@
         if result.records:
             self.peers.schedule_send()
 
+    def _store_was_away(self) -> bool:
+        """Return whether entries may lack as servers lost the store."""
+        recovery = self._edge_state.bounds.store_recovery_time
+        return self.store_health.failed_within(recovery)
+
     def _valid_or_pending(self, record: bytes) -> bytes:
         """Return a record if valid, otherwise the pending one so far."""
         try:
--- a/src/lugcross/edge/store_followers.py
+++ b/src/lugcross/edge/store_followers.py
@@ -5,6 +5,7 @@
 import datetime
 import functools
 
+from lugcross import clock as clock_lib
 from lugcross.edge import edge_state as edge_state_lib
 from lugcross.edge import long_poll
 from lugcross.edge import state_sync as state_sync_lib
@@ -25,6 +26,8 @@
     store: platform.StoreClient,
     edge_state: edge_state_lib.EdgeState,
     state_sync: state_sync_lib.StateSync,
+    *,
+    clock: clock_lib.Clock,
 ) -> list[topic_follower.TopicFollower]:
     """Return the followers of the desired state and the backend servers.
 
@@ -66,6 +69,7 @@
             topic,
             on_read,
             state_sync.store_health,
+            clock=clock,
             min_interval=min_interval,
             poll_wait=poll_wait,
             should_restart_read=should_restart_read,
--- a/src/lugcross/edge/topic_follower.py
+++ b/src/lugcross/edge/topic_follower.py
@@ -3,6 +3,7 @@
 
 import asyncio
 from collections.abc import Callable
+import dataclasses
 import datetime
 import random
 from typing import final
@@ -10,6 +11,7 @@
 from absl import logging
 
 from lugcross import clock as clock_lib
+from lugcross import drain_times
 from lugcross.edge import long_poll
 from lugcross import errors
 from lugcross import platform
@@ -95,6 +97,7 @@
         on_read: ReadHandler,
         store_health: StoreHealth,
         *,
+        clock: clock_lib.Clock,
         min_interval: Callable[[], datetime.timedelta],
         poll_wait: Callable[[], datetime.timedelta],
         should_restart_read: Callable[[], bool] = lambda: False,
@@ -113,6 +116,11 @@
         self._on_caught_up = on_caught_up
         self._on_records_behind = on_records_behind
         self._progress = topic_reads.ReadProgress()
+        self._clock = clock
+        #: When the last answer that reached the topic's end arrived.
+        self._caught_up_at: clock_lib.Instant | None = None
+        #: Whether the store may have kept the read waiting for a record.
+        self._may_have_waited = False
         self._last_read_answered = True
 
     async def run(self) -> None:
@@ -155,18 +163,30 @@
     async def _read(self) -> bool:
         """Do the next read; return whether it was a listing."""
         start = self._progress.position
+        sent_at = self._clock.monotonic()
+        self._may_have_waited = False
         if start is None:
             result = await self._store.read_newest(self._topic)
-            self._on_read(result, True)
-            self._progress.note_listing(result.end)
         else:
             result = await self._read_from(start)
-            self._on_read(result, False)
+        received_at = self._clock.monotonic()
+        age = drain_times.max_record_age(
+            last_answer_at=self._caught_up_at,
+            sent_at=sent_at,
+            received_at=received_at,
+            may_have_waited=self._may_have_waited,
+        )
+        self._on_read(dataclasses.replace(result, max_age=age), start is None)
+        if start is None:
+            self._progress.note_listing(result.end)
+        else:
             self._progress.note_records(
                 result.end,
                 count=len(result.records),
                 records_left=result.records_left,
             )
+        if self._is_caught_up():
+            self._caught_up_at = received_at
         self._on_records_behind(self._progress.records_behind)
         return start is None
 
@@ -194,6 +214,7 @@
                     or positions.era(start) < self._store.era
                 ):
                     return await self._read_without_wait(start)
+            self._may_have_waited = True
             return read.result()
         finally:
             read.cancel()
--- a/src/lugcross/platform/store_client.py
+++ b/src/lugcross/platform/store_client.py
@@ -53,11 +53,14 @@
         the next read starts there.
     :param records_left: number of records from ``end`` on that the topic had
         but the answer left out, as the store limits its size.
+    :param max_age: greatest time since the store took the records, as far as
+        the reader can tell.
     """
 
     end: positions.Position
     records: tuple[KeyedRecord, ...]
     records_left: int = 0
+    max_age: datetime.timedelta = datetime.timedelta()
 
 
 class _NewestItem(msgspec.Struct, frozen=True):
--- a/testing/edge/test_cut_reads.py
+++ b/testing/edge/test_cut_reads.py
@@ -376,6 +376,7 @@
             TOPIC,
             self._on_read,
             topic_follower.StoreHealth(virtual_time.LoopClock()),
+            clock=virtual_time.LoopClock(),
             min_interval=lambda: datetime.timedelta(seconds=0.1),
             poll_wait=lambda: datetime.timedelta(seconds=2),
         )
--- a/testing/edge/test_state_sync.py
+++ b/testing/edge/test_state_sync.py
@@ -186,6 +186,7 @@
                 (newest, [record.value for record in tail.records])
             ),
             health,
+            clock=clock_lib.SystemClock(),
             min_interval=datetime.timedelta,
             poll_wait=datetime.timedelta,
         )
--- a/testing/support/fleet_rig.py
+++ b/testing/support/fleet_rig.py
@@ -130,7 +130,10 @@
     async def run(self) -> None:
         """Keep in sync with the store and the peers until cancelled."""
         followers = store_followers.make_followers(
-            self.store, self.edge_state, self.state_sync
+            self.store,
+            self.edge_state,
+            self.state_sync,
+            clock=virtual_time.LoopClock(),
         )
         prober = domain_prober.DomainProber(
             self.edge_state.reachability, virtual_time.LoopClock()
