Handle signals from the first instruction of an edge process

Cause: the handlers were installed once the event loop ran, after all imports, and the interpreter removed them before it exited.

Change: process_signals installs them before the other modules are imported. A reload is kept until the event loop runs, a request to stop ends the process with status 0; while the process ends, both are ignored.

--- a/src/lugcross/cli/edge.py
+++ b/src/lugcross/cli/edge.py
@@ -8,6 +8,7 @@
 
 from lugcross import clock
 from lugcross import logs
+from lugcross import process_signals
 
 _CONFIG_VARIABLE = "LUGCROSS_CONFIG"
 
@@ -28,6 +29,9 @@
         settings.node, settings.level, sys.stdout.fileno()
     )
     program = edge_lib.Edge(
-        settings, clock=clock.SystemClock(), settings_path=file
+        settings,
+        clock=clock.SystemClock(),
+        settings_path=file,
+        signals=process_signals.SIGNALS,
     )
     program.run()
--- a/src/lugcross/edge/app.py
+++ b/src/lugcross/edge/app.py
@@ -8,7 +8,6 @@
 import pathlib
 import random
 import resource
-import signal
 from typing import Any
 from typing import final
 
@@ -34,6 +33,7 @@
 from lugcross import experts
 from lugcross import http1
 from lugcross import platform
+from lugcross import process_signals
 
 #: Time limit for an answer of the store, which usually takes a few
 #: milliseconds, and some hundred while the store is slow.
@@ -74,6 +74,8 @@
 
     :param settings_path: file that ``settings`` were loaded from, watched for
         changes; empty to never reload.
+    :param signals: signals of the process; None to handle them only while
+        this serves.
     """
 
     def __init__(
@@ -82,7 +84,9 @@
         *,
         clock: clock_lib.Clock,
         settings_path: str = "",
+        signals: process_signals.ProcessSignals | None = None,
     ) -> None:
+        self._signals = signals or process_signals.ProcessSignals()
         self._settings = settings
         self._clock = clock
         self._settings_path = settings_path
@@ -184,9 +188,10 @@
 
     async def _main(self) -> None:
         loop = asyncio.get_running_loop()
-        for num in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(num, self._request_stop)
-        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        self._signals.install()
+        self._signals.attach(
+            loop, on_stop=self._request_stop, on_reload=self._reload
+        )
         listen = self._settings.listen
         await self.state_sync.start()
         callers = http1.Listener(
@@ -217,6 +222,7 @@
             await self._stop_requested.wait()
             await self._drain()
         finally:
+            self._signals.detach()
             for server in servers:
                 server.close()
             for task in tasks:
