Limit the store's answers and repeat servers' answers in the soak

The soak never had a store that cuts an answer, nor a server that sends an answer once more. Two faults more: for part of a round the store answers with 2,000 bytes at most and lists one key a page, while one process cannot reach it and a dozen desired states are written, after which each process must have the newest one in force; and one server sends each whole answer once more in the place of the next one.

--- a/testing/soak/test_soak.py
+++ b/testing/soak/test_soak.py
@@ -18,6 +18,8 @@
 import soak_checks
 import soak_fleet
 
+from lugcross.standin import store as standin
+
 FIRST_SEED = int(os.environ.get("SOAK_SEED", "1"))
 SEED_COUNT = int(os.environ.get("SOAK_SEEDS", "3"))
 #: Seeds that failed before, with the cause, which run every time.
@@ -46,6 +48,9 @@
 SERVER_LIMIT = 2.0
 LIMIT_ROUNDS = 450
 CALLERS_PER_PROCESS = 2
+#: Changes of the desired state of which an answer of the store holds few.
+BURST_CHANGES = 12
+LIMITED_READ_BYTES = 2_000
 REQUESTS_PER_ROUND = 6
 
 
@@ -171,6 +176,31 @@
     run.fleet.restore_store(copy)
 
 
+async def limit_store_answers(run: _SoakRun) -> None:
+    store = run.fleet.store
+    store.max_read_bytes = LIMITED_READ_BYTES
+    store.page_size = 1
+    proxy = run.take_process().store_proxy
+    proxy.blackhole_new = True
+    proxy.blackhole_open()
+    for _ in range(BURST_CHANGES):
+        run.fleet.change_desired_state()
+    await run.wait_until_half_done()
+    proxy.blackhole_new = False
+    proxy.reset()
+    await run.fleet.wait_until_serving()
+    await run.fleet.wait_until_newest_version()
+    store.max_read_bytes = standin.MAX_READ_BYTES
+    store.page_size = standin.MAX_PAGE_KEYS
+
+
+async def repeat_answers_of_a_server(run: _SoakRun) -> None:
+    server = run.rng.choice(run.fleet.servers)
+    server.repeats_answers = True
+    await run.wait_until_half_done()
+    server.repeats_answers = False
+
+
 async def evacuate_domain(run: _SoakRun) -> None:
     domain = run.rng.choice(["d0", "d1", "d2"])
     run.fleet.evacuate(domain)
@@ -202,6 +232,8 @@
     make_store_unavailable,
     blackhole_store_for_one_process,
     restore_store_from_copy,
+    limit_store_answers,
+    repeat_answers_of_a_server,
     evacuate_domain,
     pause_process,
     kill_process,
--- a/testing/support/soak_fleet.py
+++ b/testing/support/soak_fleet.py
@@ -53,6 +53,9 @@
         #: Requests a second from all processes to which its answers limit
         #: them; None for no limit.
         self.limit: float | None = None
+        #: Whether it sends each whole answer once more, in the place of the
+        #: next one on the connection.
+        self.repeats_answers = False
         #: Called with the name of each request and the backoff it is answered
         #: with, in seconds.
         self.on_request: Callable[[str, float], None] = (
@@ -72,15 +75,26 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        last_answer = b""
         try:
             while True:
-                await self._serve_request(reader, writer)
+                last_answer = await self._serve_request(
+                    reader, writer, last_answer
+                )
         except (OSError, asyncio.IncompleteReadError):
             writer.close()
 
     async def _serve_request(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        last_answer: bytes,
+    ) -> bytes:
+        """Serve one request.
+
+        :param last_answer: the answer before it on the connection.
+        :returns: the answer; empty if it was a stream.
+        """
         head = await reader.readuntil(b"\r\n\r\n")
         line, *lines = head[:-4].split(b"\r\n")
         fields = dict(one.split(b":", 1) for one in lines)
@@ -89,13 +103,16 @@
         name = headers[b"attempt-identifier"].decode()
         kind = soak_checks.RequestKind(line.split(b"/")[1].decode())
         self.on_request(name, self.backoff_s)
+        if self.repeats_answers:
+            writer.write(last_answer)
         if self.backoff_s:
-            writer.write(
+            answer = (
                 b"HTTP/1.1 503 X\r\nNot-Executed: 1\r\nContent-Length: 0"
                 b"\r\nAttempt-Identifier: %s\r\nRetry-After: %g\r\n\r\n"
                 % (name.encode(), self.backoff_s)
             )
-            return
+            writer.write(answer)
+            return answer
         self._run_counts[name] += 1
         await asyncio.sleep(_PROCESSING_S)
         prompt = headers.get(b"prompt-prefix", b"").split(b",")
@@ -105,21 +122,25 @@
         ):
             self.on_crash()
             raise ConnectionAbortedError
-        writer.write(
+        answer = (
             b"HTTP/1.1 200 OK\r\nResponse-Seal: s\r\nAttempt-Identifier: %s"
             b"\r\n" % name.encode()
         )
         if self.leaving:
-            writer.write(b"Server-Leaving: 1\r\n")
+            answer += b"Server-Leaving: 1\r\n"
         if self.limit is not None:
-            writer.write(b"Server-Limit: %g\r\n" % self.limit)
+            answer += b"Server-Limit: %g\r\n" % self.limit
         if kind is soak_checks.RequestKind.STREAM:
+            writer.write(answer)
             last = int(headers.get(b"last-event-id", b"0"))
             await self._stream(writer, name, last)
+            answer = b""
         else:
             body = soak_checks.expected_body(kind, name)
-            writer.write(b"Content-Length: %d\r\n\r\n%s" % (len(body), body))
+            answer += b"Content-Length: %d\r\n\r\n%s" % (len(body), body)
+            writer.write(answer)
         await writer.drain()
+        return answer
 
     async def _stream(
         self, writer: asyncio.StreamWriter, name: str, last: int
@@ -229,17 +250,29 @@
         listed = await self._read_list(b"/suspects", "suspects")
         return max((len(one["ends"]) for one in listed), default=0)
 
+    async def desired_version(self) -> int:
+        """Return the version of the desired state that it has in force."""
+        name = b"lugcross_desired_version "
+        figures = (await self._read_metrics(b"/metrics")).splitlines()
+        found = next(one for one in figures if one.startswith(name))
+        return int(float(found.removeprefix(name)))
+
     async def _read_list(self, path: bytes, name: str) -> list[Any]:
         """Return a list that it serves as JSON at its metrics address."""
+        listed: list[Any] = json.loads(await self._read_metrics(path))[name]
+        return listed
+
+    async def _read_metrics(self, path: bytes) -> bytes:
+        """Return what it serves at a path of its metrics address."""
         conn = await http1.connect(
             HOST, self.ports["metrics"], timeout_s=_CALLER_TIMEOUT_S
         )
         headers = [(b"Host", b"h"), (b"Connection", b"close")]
         conn.send(b"GET", path, headers, b"")
         await conn.read_head()
-        listed: list[Any] = json.loads(await conn.read_body())[name]
+        body = await conn.read_body()
         conn.close()
-        return listed
+        return body
 
     async def evacuated_domains(self) -> set[str]:
         """Return the failure domains that it lists as evacuated."""
@@ -452,6 +485,13 @@
             json.dumps(state).encode(),
         )
 
+    async def wait_until_newest_version(self) -> None:
+        """Wait until each process has the newest desired state in force."""
+        for one in self.processes:
+            while await one.desired_version() < self.version:
+                one.check_running()
+                await asyncio.sleep(0.05)
+
     async def wait_until_serving(self) -> None:
         """Wait until each process serves a request on a new connection."""
         for num, one in enumerate(self.processes):
