--- a/src/lugcross/edge/topic_follower.py
+++ b/src/lugcross/edge/topic_follower.py
@@ -146,14 +146,16 @@
                 self._progress.note_gap()
             except errors.RecordsWithheldError as exc:
                 self._progress.note_gap()
-                logging.error("store withholds records", extra=_why(exc))
+                logging.error(
+                    "store withholds records", extra={"why": str(exc)}
+                )
                 retry_wait_s = await _wait_to_retry(retry_wait_s)
             except errors.LogUnavailableError as exc:
                 self._last_read_answered = False
                 self._store_health.record_failure(str(exc))
                 logging.info(
                     "store read failed",
-                    extra={"topic": self._topic, **_why(exc)},
+                    extra={"topic": self._topic, "why": str(exc)},
                 )
                 retry_wait_s = await _wait_to_retry(retry_wait_s)
 
@@ -235,10 +237,6 @@
         return await self._store.read_from(self._topic, start, wait=_NO_WAIT)
 
 
-def _why(exc: errors.LugcrossError) -> dict[str, str]:
-    return {"why": str(exc)}
-
-
 async def _wait_to_retry(wait_s: float) -> float:
     """Wait before the next call; return the wait after a further failure."""
     # Jitter keeps the processes from retrying all at once.
--- a/src/lugcross/platform/__init__.py
+++ b/src/lugcross/platform/__init__.py
@@ -18,8 +18,8 @@
 from lugcross.platform.engine_client import EngineQueryError
 from lugcross.platform.header_names import ATTEMPT_ID
 from lugcross.platform.header_names import RETRY_AFTER
-from lugcross.platform.store_client import KeyedRecord
-from lugcross.platform.store_client import ReadResult
+from lugcross.platform.store_answers import KeyedRecord
+from lugcross.platform.store_answers import ReadResult
 from lugcross.platform.store_client import StoreClient
 from lugcross.platform.store_records import BACKENDS_TOPIC
 from lugcross.platform.store_records import decode_backend
--- a/src/lugcross/platform/store_client.py
+++ b/src/lugcross/platform/store_client.py
@@ -7,12 +7,9 @@
 """
 
 import asyncio
-import base64
 from collections.abc import Callable
-import dataclasses
 import datetime
 import http
-import struct
 from typing import final
 import urllib.parse
 
@@ -24,61 +21,17 @@
 from lugcross import http1
 from lugcross import ids
 from lugcross.platform import header_names
+from lugcross.platform import store_answers
 from lugcross import positions
 
-_RECORD_LENGTH = struct.Struct(">I")
-_READ_BOUNDS = struct.Struct(">QQ")
 #: Longest era that is parsed, in digits; longer texts are cut in log lines.
 _MAX_ERA_DIGITS = 12
-#: Replaces a value that cannot be decoded; an empty one would remove its key.
-_UNREADABLE_VALUE = b"\xff"
-
-
-@final
-@dataclasses.dataclass(frozen=True)
-class KeyedRecord:
-    """One record of a keyed topic; an empty value removes the key."""
-
-    position: positions.Position
-    key: str
-    value: bytes
-
-
-@final
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class ReadResult:
-    """Records of one read of a topic.
-
-    :param end: position up to which the read returned all that was asked for;
-        the next read starts there.
-    :param records_left: number of records from ``end`` on that the topic had
-        but the answer left out, as the store limits its size.
-    :param max_age: greatest time since the store took the records, as far as
-        the reader can tell.
-    """
-
-    end: positions.Position
-    records: tuple[KeyedRecord, ...]
-    records_left: int = 0
-    max_age: datetime.timedelta = datetime.timedelta()
-
-
-class _NewestItem(msgspec.Struct, frozen=True):
-    private_key: str
-    value: str
-    offset: int
 
 
 class _AppendAnswer(msgspec.Struct, frozen=True):
     end: int
 
 
-class _NewestPage(msgspec.Struct, frozen=True):
-    items: list[_NewestItem]
-    has_more: bool
-    end: int
-
-
 @final
 class StoreClient:
     """Client of the store; each call in progress has a connection of its own.
@@ -101,7 +54,7 @@
             lambda era, before: None
         )
 
-    async def read_newest(self, topic: str) -> ReadResult:
+    async def read_newest(self, topic: str) -> store_answers.ReadResult:
         """Return the newest record of each key of ``topic``.
 
         The end is that of the first page. Records may be appended between
@@ -110,7 +63,7 @@
         :raises errors.LogUnavailableError: when the call fails, or the era
             changes between two pages.
         """
-        records: list[KeyedRecord] = []
+        records: list[store_answers.KeyedRecord] = []
         end: positions.Position | None = None
         after = ""
         while True:
@@ -119,21 +72,30 @@
                 query["after_revision"] = after
             status, body = await self._request("GET", "/log-newest", query)
             if status != http.HTTPStatus.OK:
-                raise _log_unavailable_error(f"status {status}")
-            page = _decode_newest_page(body)
+                raise store_answers.log_unavailable_error(f"status {status}")
+            page = store_answers.decode_newest_page(body)
             era = self.era
             if end is not None and positions.era(end) != era:
-                raise _log_unavailable_error(
+                raise store_answers.log_unavailable_error(
                     "its era changed between two pages"
                 )
             records.extend(
-                _decode_newest_item(item, era) for item in page.items
+                store_answers.decode_newest_item(item, era)
+                for item in page.items
+            )
+            end = (
+                store_answers.make_position(era, page.end)
+                if end is None
+                else end
             )
-            end = _make_position(era, page.end) if end is None else end
             if not page.has_more:
-                return ReadResult(end=end, records=tuple(records))
+                return store_answers.ReadResult(
+                    end=end, records=tuple(records)
+                )
             if not page.items:
-                raise _log_unavailable_error("empty page of a longer listing")
+                raise store_answers.log_unavailable_error(
+                    "empty page of a longer listing"
+                )
             after = page.items[-1].private_key
 
     async def read_from(
@@ -143,7 +105,7 @@
         *,
         wait: datetime.timedelta,
         answer_timeout: datetime.timedelta | None = None,
-    ) -> ReadResult:
+    ) -> store_answers.ReadResult:
         """Return records from ``start`` on, as many as fit in one answer.
 
         :param wait: how long the store waits for a record if there is none.
@@ -157,7 +119,7 @@
         """
         era = positions.era(start)
         if era < self.era:
-            raise _offset_expired_error(topic, start)
+            raise store_answers.offset_expired_error(topic, start)
         from_ = str(positions.offset(start))
         query = {"topic": topic, "part": "0", "from": from_}
         if wait:
@@ -167,10 +129,10 @@
             "GET", "/log-read", query, wait=wait, answer_timeout=answer_timeout
         )
         if status == http.HTTPStatus.GONE or era < self.era:
-            raise _offset_expired_error(topic, start)
+            raise store_answers.offset_expired_error(topic, start)
         if status != http.HTTPStatus.OK:
-            raise _log_unavailable_error(f"status {status}")
-        result = _decode_records(topic, body, start)
+            raise store_answers.log_unavailable_error(f"status {status}")
+        result = store_answers.decode_records(topic, body, start)
         if result.records_left:
             logging.info(
                 "store read incomplete",
@@ -195,7 +157,7 @@
         if era is None or era == self.era:
             return
         if era < self.era:
-            raise _log_unavailable_error(
+            raise store_answers.log_unavailable_error(
                 f"response of era {era} after {self.era}"
             )
         before, self.era = self.era, era
@@ -239,7 +201,7 @@
     ) -> bytes:
         name = key.encode()
         content = bytes((len(name),)) + name + value
-        record = _RECORD_LENGTH.pack(len(content)) + content
+        record = store_answers.RECORD_LENGTH.pack(len(content)) + content
         query = {"topic": topic, "part": "0", **condition}
         try:
             status, body = await self._request(
@@ -289,7 +251,7 @@
                 self.close()
             why = str(exc) or f"no answer within {limit:g} s"
             which = "reused" if reused else "new"
-            raise _log_unavailable_error(
+            raise store_answers.log_unavailable_error(
                 f"{why}, on a {which} connection"
             ) from exc
         except BaseException:
@@ -315,7 +277,7 @@
                 timeout_s=self._timeout.total_seconds(),
             )
         except http1.NoConnectionError as exc:
-            raise _log_unavailable_error(str(exc)) from exc
+            raise store_answers.log_unavailable_error(str(exc)) from exc
 
 
 def _parse_era(answer: http1.ResponseHead) -> positions.Era | None:
@@ -337,108 +299,6 @@
     return None
 
 
-def _make_position(era: positions.Era, offset: int) -> positions.Position:
-    try:
-        return positions.position_of(era, ids.Offset(offset))
-    except ValueError as exc:
-        raise _log_unavailable_error(f"malformed response: {exc}") from exc
-
-
-def _decode_newest_item(item: _NewestItem, era: positions.Era) -> KeyedRecord:
-    try:
-        value = base64.b64decode(item.value, validate=True)
-    except ValueError:
-        value = _UNREADABLE_VALUE
-    return KeyedRecord(
-        _make_position(era, item.offset), item.private_key, value
-    )
-
-
-def _decode_newest_page(body: bytes) -> _NewestPage:
-    try:
-        return msgspec.json.decode(body, type=_NewestPage)
-    except msgspec.DecodeError as exc:
-        raise _log_unavailable_error(f"malformed response: {exc}") from exc
-
-
-def _decode_records(
-    topic: str, body: bytes, start: positions.Position
-) -> ReadResult:
-    """Decode the response to a read from ``start``.
-
-    The response is the end of the topic and its oldest offset (8 bytes each),
-    then the records, each after its length (4 bytes). Integers are big-endian.
-    The end is that of the topic, also where the records end before it.
-
-    :raises errors.LogUnavailableError: when it is malformed.
-    :raises errors.OffsetExpiredError: when it begins after ``start``.
-    :raises errors.RecordsWithheldError: when it has no record although the
-        topic has some.
-    """
-    try:
-        era = positions.era(start)
-        topic_end, first = _READ_BOUNDS.unpack_from(body)
-        records = []
-        pos = _READ_BOUNDS.size
-        offset = int(positions.offset(start))
-        if first > offset:
-            raise _offset_expired_error(topic, start)
-        while pos < len(body):
-            (size,) = _RECORD_LENGTH.unpack_from(body, pos)
-            pos += _RECORD_LENGTH.size
-            record = body[pos : pos + size]
-            if len(record) < size:
-                raise _log_unavailable_error(
-                    f"malformed records: {len(record)} of {size} bytes"
-                )
-            pos += size
-            records.append(_decode_record(_make_position(era, offset), record))
-            offset += 1
-    except struct.error as exc:
-        raise _log_unavailable_error(f"malformed records: {exc}") from exc
-    if not records and topic_end > offset:
-        raise _records_withheld_error(topic, offset, topic_end)
-    return ReadResult(
-        end=_make_position(era, offset),
-        records=tuple(records),
-        records_left=max(0, topic_end - offset),
-    )
-
-
-def _decode_record(offset: positions.Position, record: bytes) -> KeyedRecord:
-    """Decode a record: length of its key (1 byte), key, value.
-
-    A malformed record must not keep the others from being read: it gets a
-    key or a value that no reader accepts.
-    """
-    key_end = 1 + record[0] if record else 1
-    if key_end > len(record):
-        return KeyedRecord(offset, "", _UNREADABLE_VALUE)
-    key = record[1:key_end].decode("utf-8", "replace")
-    return KeyedRecord(offset, key, record[key_end:])
-
-
-def _offset_expired_error(
-    topic: str, start: positions.Position
-) -> errors.LugcrossError:
-    return errors.OffsetExpiredError(
-        f"topic {topic} no longer has offset {positions.offset(start)} of era"
-        f" {positions.era(start)}",
-        remedy="read the newest record of each key instead",
-    )
-
-
-def _records_withheld_error(
-    topic: str, offset: int, topic_end: int
-) -> errors.LugcrossError:
-    return errors.RecordsWithheldError(
-        f"the store returned no record of topic {topic} from offset {offset}"
-        f" on, although it ends at {topic_end}",
-        remedy="read the newest record of each key instead, and check the"
-        " size of the topic's records",
-    )
-
-
 def _append_conflict_error(topic: str) -> errors.LugcrossError:
     return errors.AppendConflictError(
         f"the end of topic {topic} has changed since it was read",
@@ -446,13 +306,6 @@
     )
 
 
-def _log_unavailable_error(why: str) -> errors.LogUnavailableError:
-    return errors.LogUnavailableError(
-        f"the store is unavailable ({why})",
-        remedy="nothing to do: the call is repeated, and peers are asked",
-    )
-
-
 def _append_unknown_error(why: str) -> errors.AppendUnknownError:
     return errors.AppendUnknownError(
         f"the outcome of the append is unknown ({why})",
@@ -460,4 +313,4 @@
     )
 
 
-__all__ = ["KeyedRecord", "ReadResult", "StoreClient"]
+__all__ = ["StoreClient"]
--- a/src/lugcross/platform/store_records.py
+++ b/src/lugcross/platform/store_records.py
@@ -17,7 +17,7 @@
 from lugcross import evacuation
 from lugcross import experts
 from lugcross import ids
-from lugcross.platform import store_client
+from lugcross.platform import store_answers
 
 #: Topic to which the operator writes the desired state.
 OPERATOR_TOPIC = "keyed.op"
@@ -237,7 +237,7 @@
 
 
 def decode_evacuation(
-    record: store_client.KeyedRecord,
+    record: store_answers.KeyedRecord,
 ) -> evacuation.Record | None:
     """Decode a record of the operator's topic.
 
--- a/testing/test_process_signals.py
+++ b/testing/test_process_signals.py
@@ -7,6 +7,8 @@
 """
 
 import asyncio
+from collections.abc import Iterator
+import contextlib
 import os
 import pathlib
 import signal
@@ -42,22 +44,31 @@
 DELAYS_S = (0.0, 0.02, 0.05, 0.1, 0.2, 0.3)
 
 
+@contextlib.contextmanager
+def _running(path: pathlib.Path) -> Iterator[subprocess.Popen[bytes]]:
+    """Run an edge process with the settings at a path."""
+    proc = subprocess.Popen(
+        [sys.executable, "-m", "lugcross", "edge"],
+        env={**os.environ, "LUGCROSS_CONFIG": str(path)},
+        stdout=subprocess.PIPE,
+    )
+    try:
+        yield proc
+    finally:
+        proc.kill()
+        proc.wait()
+        proc.stdout.close()
+
+
 @pytest.fixture
 def process(tmp_path):
     """Start an edge process; yield it once it handles signals."""
     path = tmp_path / "edge.yaml"
     ports = [edge_rig.reserve_port() for _ in range(5)]
     path.write_text(SETTINGS.format(ports=ports), encoding="utf-8")
-    proc = subprocess.Popen(
-        [sys.executable, "-m", "lugcross", "edge"],
-        env={**os.environ, "LUGCROSS_CONFIG": str(path)},
-        stdout=subprocess.PIPE,
-    )
-    _wait_until_caught(proc.pid)
-    yield proc
-    proc.kill()
-    proc.wait()
-    proc.stdout.close()
+    with _running(path) as proc:
+        _wait_until_caught(proc.pid)
+        yield proc
 
 
 def _wait_until_caught(pid: int) -> None:
@@ -109,15 +120,8 @@
     """Start an edge process that waits for its settings; yield both."""
     path = tmp_path / "edge.yaml"
     os.mkfifo(path)
-    proc = subprocess.Popen(
-        [sys.executable, "-m", "lugcross", "edge"],
-        env={**os.environ, "LUGCROSS_CONFIG": str(path)},
-        stdout=subprocess.PIPE,
-    )
-    yield proc, path
-    proc.kill()
-    proc.wait()
-    proc.stdout.close()
+    with _running(path) as proc:
+        yield proc, path
 
 
 def test_reload_signal_before_the_settings_are_read(starting_process):
