--- a/src/lugcross/standin/store.py
+++ b/src/lugcross/standin/store.py
@@ -13,6 +13,7 @@
 import json
 import struct
 from typing import final
+from typing import NoReturn
 import urllib.parse
 
 from lugcross import clock as clock_lib
@@ -65,6 +66,14 @@
     """In-memory store.
 
     :ivar unavailable: whether all calls get 503.
+    :ivar overloaded: whether all calls get 429.
+    :ivar answer_delay_s: time until a call is executed and answered.
+    :ivar wakes_reads: whether a new record ends the wait of reads that came
+        before it.
+    :ivar lost_appends: number of next appends that are done but get no
+        answer.
+    :ivar late_append_s: time after which an append without an answer is done,
+        if its condition still holds; 0 for at once.
     :ivar page_size: keys per page of newest records.
     :ivar page_bytes: records per page of newest records, in bytes of base64.
     :ivar max_read_bytes: records in one answer to a read, in bytes. An answer
@@ -80,6 +89,12 @@
         self._server: asyncio.Server | None = None
         self._clock = clock_lib.SystemClock()
         self.unavailable = False
+        self.overloaded = False
+        self.answer_delay_s = 0.0
+        self.wakes_reads = True
+        self.lost_appends = 0
+        self.late_append_s = 0.0
+        self._late_appends: set[asyncio.Task[None]] = set()
         self.era: str | None = None
         self.page_size = MAX_PAGE_KEYS
         self.page_bytes = MAX_PAGE_BYTES
@@ -161,13 +176,19 @@
         parts = urllib.parse.urlsplit(target)
         query = dict(urllib.parse.parse_qsl(parts.query))
         self.called_paths.append(parts.path)
+        if self.answer_delay_s:
+            await asyncio.sleep(self.answer_delay_s)
         if self.unavailable:
             return http.HTTPStatus.SERVICE_UNAVAILABLE, b""
+        if self.overloaded:
+            return http.HTTPStatus.TOO_MANY_REQUESTS, b""
         if parts.path == "/log-newest":
             return self._newest(query)
         if parts.path == "/log-read":
             return await self._read(query)
         if parts.path == "/log-append":
+            if self.lost_appends:
+                await self._append_without_answer(query, body)
             return self._append(query, body)
         return http.HTTPStatus.NOT_FOUND, b""
 
@@ -201,9 +222,10 @@
             return http.HTTPStatus.GONE, gone
         wait_s = min(int(query.get("wait_ms", "0")) / 1000, MAX_WAIT_S)
         if start >= topic.end and wait_s:
+            changed = topic.changed if self.wakes_reads else asyncio.Event()
             try:
                 async with asyncio.timeout(wait_s):
-                    await topic.changed.wait()
+                    await changed.wait()
             except TimeoutError:
                 # The response has no records.
                 pass
@@ -229,6 +251,24 @@
             found += encoded
         return found
 
+    async def _append_without_answer(
+        self, query: dict[str, str], body: bytes
+    ) -> NoReturn:
+        """Append at once or late; the connection says nothing further."""
+        self.lost_appends -= 1
+        if self.late_append_s:
+            task = asyncio.create_task(self._append_late(query, body))
+            self._late_appends.add(task)
+            task.add_done_callback(self._late_appends.discard)
+        else:
+            self._append(query, body)
+        await asyncio.Event().wait()
+        raise AssertionError("an event that nobody sets was set")
+
+    async def _append_late(self, query: dict[str, str], body: bytes) -> None:
+        await asyncio.sleep(self.late_append_s)
+        self._append(query, body)
+
     def _append(
         self, query: dict[str, str], body: bytes
     ) -> tuple[http.HTTPStatus, bytes]:
--- a/testing/soak/test_soak.py
+++ b/testing/soak/test_soak.py
@@ -51,6 +51,9 @@
 #: Changes of the desired state of which an answer of the store holds few.
 BURST_CHANGES = 12
 LIMITED_READ_BYTES = 2_000
+STORE_DELAY_S = 0.2
+#: Appends that are done but get no answer.
+LOST_APPENDS = 2
 REQUESTS_PER_ROUND = 6
 
 
@@ -160,6 +163,23 @@
     run.fleet.store.unavailable = False
 
 
+async def disturb_store_calls(run: _SoakRun) -> None:
+    store = run.fleet.store
+    store.answer_delay_s = STORE_DELAY_S
+    store.wakes_reads = False
+    store.lost_appends = LOST_APPENDS
+    await run.wait_until_half_done()
+    store.answer_delay_s = 0.0
+    store.wakes_reads = True
+    store.lost_appends = 0
+
+
+async def refuse_store_calls(run: _SoakRun) -> None:
+    run.fleet.store.overloaded = True
+    await run.wait_until_half_done()
+    run.fleet.store.overloaded = False
+
+
 async def blackhole_store_for_one_process(run: _SoakRun) -> None:
     proxy = run.take_process().store_proxy
     proxy.blackhole_new = True
@@ -230,6 +250,8 @@
     reset_server_connections,
     drop_responses_of_a_server,
     make_store_unavailable,
+    disturb_store_calls,
+    refuse_store_calls,
     blackhole_store_for_one_process,
     restore_store_from_copy,
     limit_store_answers,
