Look at the field of cold servers itself, not at the last byte

It was that of another empty list, as long as the last field was one; has_all_records is a flag and comes last now. The test was wrong about what it looked at. It now encodes the field itself, which must be one byte, and compares the heartbeat with and without it.

--- a/testing/rate_limits/test_limit_reports.py
+++ b/testing/rate_limits/test_limit_reports.py
@@ -8,6 +8,7 @@
 import datetime
 import math
 
+import cbor2
 import msgspec
 import pytest
 
@@ -99,8 +100,10 @@
 
 
 def test_heartbeat_without_cold_servers_grows_by_one_byte():
-    whole = messages.encode(_heartbeat())
-    raw = msgspec.to_builtins(_heartbeat())
+    values = cbor2.loads(messages.encode(_heartbeat()))
     index = _heartbeat().__struct_fields__.index("cold_servers")
-    assert raw[index] == []
-    assert whole[-1:] == b"\x80"
+    assert values[index] == []
+    assert cbor2.dumps(values[index]) == b"\x80"
+    # All other fields take the same bytes with and without it.
+    without = values[:index] + values[index + 1 :]
+    assert len(cbor2.dumps(values)) == len(cbor2.dumps(without)) + 1
