Join the records of an answer of the store's stand-in once

Found in the last reading: the stand-in appended each record to growing bytes, up to a megabyte of them for entries of 160 bytes, and copied all records from the wanted one on although an answer holds few of them. It now collects them and joins them once.

--- a/src/lugcross/standin/store.py
+++ b/src/lugcross/standin/store.py
@@ -10,6 +10,7 @@
 import base64
 import datetime
 import http
+import itertools
 import json
 import struct
 from typing import final
@@ -240,16 +241,18 @@
 
     def _records(self, topic: _Topic, start: int, limit: int) -> bytes:
         """Return the encoded records from ``start`` on that fit in a limit."""
-        found = b""
-        for key, value in topic.records[start:]:
+        found: list[bytes] = []
+        size = 0
+        for key, value in itertools.islice(topic.records, start, None):
             name = key.encode()
             record = bytes((len(name),)) + name + value
             encoded = _RECORD_LENGTH.pack(len(record)) + record
+            size += len(encoded)
             is_first = not found and not self.withholds_large_records
-            if len(found) + len(encoded) > limit and not is_first:
+            if size > limit and not is_first:
                 break
-            found += encoded
-        return found
+            found.append(encoded)
+        return b"".join(found)
 
     async def _append_without_answer(
         self, query: dict[str, str], body: bytes
