--- a/review/standins-2/rig.py
+++ b/review/standins-2/rig.py
@@ -46,7 +46,7 @@
   repeat_window_s: 10
   repeat_slack: 92
   contact_ms: 3000
-{fenced}memory_mb: 300
+{fenced}memory_mb: {memory_mb}
 """
 
 
@@ -101,6 +101,7 @@
         count: int,
         *,
         fenced: bool = False,
+        memory_mb: int = 300,
         domains: tuple[str, ...] = ("zone-a", "zone-b", "zone-c"),
     ) -> None:
         self._record = record
@@ -123,6 +124,7 @@
                     seeds=seeds,
                     store=store,
                     fenced="  fenced: true\n" if fenced else "",
+                    memory_mb=memory_mb,
                     **self.ports,
                 ),
                 encoding="utf-8",
