Bound what is kept of requests that a client sends ahead

Callers saw connections cut when a process ran out of memory. A client that sent requests without reading answers could make it hold as much as it liked.

Cause: during each request a connection read up to 128 KB more, to notice when its caller leaves, but the request then served took only its own few bytes of that. Beside it, the kernel's receive buffers grew to megabytes for data that was not read, which counts as memory of the host.

What is kept ahead is now counted as a whole and bounded by 16 KB and one read; the transport pauses beyond that, and while bodies wait for memory. The receive buffer of a caller's connection has a fixed size. Reading of requests moves from ServerConn into RequestReader, and what is received but not parsed into ReceivedData.

--- a/src/lugcross/held_bytes/ledger.py
+++ b/src/lugcross/held_bytes/ledger.py
@@ -59,7 +59,8 @@
 class Measure(enum.IntEnum):
     """The measures at the bound, in their order; each includes the former.
 
-    ``STOP_BODIES``: no further body is read from callers that are sending.
+    ``STOP_BODIES``: no further body is read from callers that are sending, and
+    nothing that they send ahead.
     ``REFUSE_BODIES``: new requests with a body are refused.
     ``SLOW_RESPONSES``: servers are read from only as fast as callers read.
     """
@@ -216,6 +217,10 @@
         """Return whether a new request may bring a body."""
         return self._held.admits_body()
 
+    def may_read_ahead(self) -> bool:
+        """Return whether data beyond the present request may be read."""
+        return self._held.measure < Measure.STOP_BODIES
+
     def may_read_body(self) -> bool:
         """Return whether more of the caller's body may be read.
 
--- a/src/lugcross/http1/caller_memory.py
+++ b/src/lugcross/http1/caller_memory.py
@@ -99,6 +99,10 @@
         """Return whether a new request may bring a body."""
         return self._holding.admits_body()
 
+    def may_read_ahead(self) -> bool:
+        """Return whether data beyond the present request may be read."""
+        return self._holding.may_read_ahead()
+
     def set_body(self, size: int) -> None:
         """Set how much of the request's body is held."""
         self._body_bytes = size
--- a/src/lugcross/http1/listener.py
+++ b/src/lugcross/http1/listener.py
@@ -15,6 +15,10 @@
 
 from absl import logging
 
+#: Size of the kernel's receive buffer of a connection, which the kernel
+#: doubles. By default it grows to megabytes for a caller whose data is not
+#: read, and all of it counts as memory of the host.
+_RECEIVE_BUFFER_BYTES = 16_384
 #: Connections accepted before other work of the event loop goes on.
 _MAX_ACCEPTED_AT_ONCE = 256
 #: Time until the next try after a failure to accept, which is usually a lack
@@ -62,6 +66,10 @@
         :raises OSError: if the address is not available.
         """
         self._sock = socket.create_server((host, port), backlog=backlog)
+        # Accepted connections inherit it.
+        self._sock.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, _RECEIVE_BUFFER_BYTES
+        )
         self._sock.setblocking(False)
         self._watch()
 
--- /dev/null
+++ b/src/lugcross/http1/request_reader.py
@@ -0,0 +1,203 @@
+# SPDX-License-Identifier: Apache-2.0
+"""Reads a caller's requests, one after another."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import datetime
+import http
+from typing import Any
+from typing import final
+
+import h11
+
+from lugcross import clock as clock_lib
+from lugcross import desired
+from lugcross.http1 import caller_memory
+from lugcross.http1 import caller_request
+from lugcross.http1 import received_data
+
+#: Data that is parsed at once.
+_PARSED_BYTES = 65_536
+
+
+@final
+class RequestReader:
+    """Reads the requests of one connection.
+
+    :param conn: parser of the connection; not used for reading by others.
+    :param write: writes to the caller.
+    :param memory: what is held for this caller; None if that is not bounded.
+    :ivar method: method of the last request.
+    :ivar busy: whether a request is being read or served. The owner resets
+        it.
+    """
+
+    def __init__(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        conn: h11.Connection,
+        *,
+        write: Callable[[bytes], Awaitable[None]],
+        clock: clock_lib.Clock,
+        memory: caller_memory.CallerMemory | None,
+    ) -> None:
+        self._received = received_data.ReceivedData(reader, writer)
+        self._h11 = conn
+        self._write = write
+        self._clock = clock
+        self._memory = memory
+        #: Size of the body of the present request.
+        self._body_bytes = 0
+        self.method = b""
+        self.busy = False
+        self.body_refused = False
+
+    async def read_request(
+        self, limits: desired.RequestLimits
+    ) -> caller_request.Request | None:
+        """Return the next request; None if the caller sends no other.
+
+        :raises caller_request.BadRequestError: if it is not valid.
+        :raises caller_request.CallerDisconnectedError: if the connection ends
+            within its body.
+        """
+        self._body_bytes = 0
+        head = await self._read_head(limits)
+        if head is None:
+            return None
+        self.method = head.method
+        received_at = self._clock.monotonic()
+        headers = list(head.headers)
+        caller_request.check_framing(headers, limits)
+        self.body_refused = (
+            caller_request.has_body(headers)
+            and self._memory is not None
+            and not self._memory.admits_body()
+        )
+        body = b""
+        if not self.body_refused:
+            body = await self._read_whole_body(limits)
+        return caller_request.Request(
+            method=head.method,
+            target=head.target,
+            headers=headers,
+            raw_headers=list(head.headers.raw_items()),
+            body=body if caller_request.is_framed(headers) else None,
+            received_at=received_at,
+            body_refused=self.body_refused,
+        )
+
+    async def wait_for_disconnect(self) -> None:
+        """Return when the caller disconnects while it is served."""
+        if self.body_refused:
+            # Reads no more while the refusal is written.
+            await asyncio.get_running_loop().create_future()
+        while await self._received.read_ahead(
+            may_keep_more=self._memory is None or self._memory.may_read_ahead()
+        ):
+            self._count_held()
+
+    def end_request(self) -> None:
+        """Note that the response has been delivered."""
+        if self._memory is not None:
+            self._memory.end_request(self._unparsed_bytes())
+
+    async def discard(self, wait: datetime.timedelta) -> None:
+        """Read once more and discard it; wait for it for some time."""
+        await self._receive(wait)
+
+    def _count_held(self) -> None:
+        if self._memory is not None:
+            self._memory.set_body(self._body_bytes + self._unparsed_bytes())
+
+    def _unparsed_bytes(self) -> int:
+        return self._received.size + len(self._h11.trailing_data[0])
+
+    async def _read_whole_body(self, limits: desired.RequestLimits) -> bytes:
+        if self._h11.they_are_waiting_for_100_continue:
+            go_on = h11.InformationalResponse(status_code=100, headers=[])
+            await self._write(self._h11.send(go_on) or b"")
+        body = await self._read_body(limits)
+        self._body_bytes = len(body)
+        self._count_held()
+        return body
+
+    async def _read_head(
+        self, limits: desired.RequestLimits
+    ) -> h11.Request | None:
+        event = self._next_event()
+        if event is h11.NEED_DATA and not self._unparsed_bytes():
+            if not await self._receive(limits.idle_timeout):
+                return None
+            event = self._next_event()
+        self.busy = True
+        deadline = self._clock.monotonic() + limits.head_timeout
+        while event is h11.NEED_DATA:
+            left = deadline - self._clock.monotonic()
+            if not await self._receive(max(left, datetime.timedelta())):
+                if self._received.ended:
+                    return None
+                raise caller_request.BadRequestError(
+                    http.HTTPStatus.REQUEST_TIMEOUT,
+                    "the request head did not arrive in time",
+                )
+            event = self._next_event()
+        if isinstance(event, h11.Request):
+            return event
+        return None
+
+    async def _read_body(self, limits: desired.RequestLimits) -> bytes:
+        parts: list[bytes] = []
+        size = 0
+        while True:
+            event = self._next_event()
+            if event is h11.NEED_DATA:
+                if not await self._may_read_body():
+                    return b""
+                if await self._receive(limits.idle_timeout):
+                    continue
+                if self._received.ended:
+                    raise caller_request.disconnected_error(
+                        "within its request"
+                    )
+                raise caller_request.BadRequestError(
+                    http.HTTPStatus.REQUEST_TIMEOUT,
+                    "the request body stalled for too long",
+                )
+            if isinstance(event, h11.Data):
+                size += len(event.data)
+                if size > limits.max_body_bytes:
+                    raise caller_request.too_large_error(limits)
+                parts.append(bytes(event.data))
+                if self._memory is not None:
+                    self._memory.set_body(size)
+                continue
+            return b"".join(parts)
+
+    async def _may_read_body(self) -> bool:
+        """Wait for memory; note if the request is refused for lack of it."""
+        if self._memory is None or await self._memory.wait_to_read_body():
+            return True
+        self.body_refused = True
+        return False
+
+    def _next_event(self) -> Any:
+        try:
+            return self._h11.next_event()
+        except h11.RemoteProtocolError as exc:
+            raise caller_request.BadRequestError(
+                http.HTTPStatus(exc.error_status_hint), str(exc)
+            ) from exc
+
+    async def _receive(self, wait: datetime.timedelta) -> bool:
+        """Parse more data; return whether any arrived within ``wait``."""
+        try:
+            async with asyncio.timeout(wait.total_seconds()):
+                if not await self._received.wait():
+                    return False
+        except TimeoutError:
+            return False
+        self._h11.receive_data(self._received.take(_PARSED_BYTES))
+        return True
--- a/src/lugcross/http1/server.py
+++ b/src/lugcross/http1/server.py
@@ -5,7 +5,6 @@
 from collections.abc import Callable
 from collections.abc import Coroutine
 import datetime
-import http
 from typing import Any
 from typing import final
 
@@ -17,16 +16,14 @@
 from lugcross import held_bytes
 from lugcross.http1 import caller_memory
 from lugcross.http1 import caller_request
+from lugcross.http1 import request_reader
 from lugcross.http1 import response_writer
 
-_READ_BYTES = 65_536
 #: Unsent response data above which writes wait for the caller to read, where
 #: the sum of held bytes is not bounded.
 _MAX_BUFFERED_BYTES = 262_144
-#: Bytes of pipelined requests that are read while one request is served.
-#: Past the limit this process stops reading, and detects a disconnect only
-#: by its next write.
-_MAX_PIPELINED_BYTES = 131_072
+#: Time for which data after an invalid request is awaited and discarded.
+_ERROR_DISCARD_TIME = datetime.timedelta(milliseconds=200)
 #: Response parts up to this size are joined, so that they fit in one packet.
 _MAX_JOINED_BYTES = 65_536
 
@@ -66,12 +63,6 @@
         self._draining = draining
         self._clock = clock
         self._h11 = _h11_connection(limits())
-        self._method = b""
-        self._pipelined_bytes = 0
-        #: Size of the body of the present request.
-        self._body_bytes = 0
-        self.busy = False
-        self._body_refused = False
         self.memory: caller_memory.CallerMemory | None = None
         if held is not None and held.limit is not None:
             self.memory = caller_memory.CallerMemory(
@@ -79,6 +70,14 @@
             )
         else:
             writer.transport.set_write_buffer_limits(high=_MAX_BUFFERED_BYTES)
+        self._requests = request_reader.RequestReader(
+            reader,
+            writer,
+            self._h11,
+            write=self._write,
+            clock=clock,
+            memory=self.memory,
+        )
 
     async def run(self) -> None:
         """Serve requests until the connection ends."""
@@ -89,14 +88,13 @@
             # The handler was cancelled when the caller disconnected.
             self._abort()
         finally:
-            self.busy = False
             if self.memory is not None:
                 self.memory.close()
             self._writer.close()
 
     def close_if_idle(self) -> None:
         """Close the connection unless a request is being read or served."""
-        if not self.busy:
+        if not self._requests.busy:
             self._writer.close()
 
     async def write_head(
@@ -109,11 +107,11 @@
     ) -> None:
         """Write the response head and the first part of the body."""
         headers = list(headers)
-        if self._method == b"HEAD":
+        if self._requests.method == b"HEAD":
             body = b""
         elif complete:
             headers.append((b"Content-Length", str(len(body)).encode()))
-        if self._draining() or self._body_refused:
+        if self._draining() or self._requests.body_refused:
             headers.append((b"Connection", b"close"))
         parts = [
             self._send(
@@ -173,7 +171,7 @@
     async def _serve_one(self) -> bool:
         """Serve one request; return whether another may follow."""
         try:
-            req = await self._read_request()
+            req = await self._requests.read_request(self._limits())
         except caller_request.BadRequestError as exc:
             await self._send_error_response(exc)
             return False
@@ -188,14 +186,13 @@
         if req.body_refused:
             await caller_memory.discard_rest(self._reader, self._writer)
             return False
-        if self.memory is not None:
-            self.memory.end_request(len(self._h11.trailing_data[0]))
+        self._requests.end_request()
         if self._h11.our_state is not h11.DONE:
             return False
         if self._h11.their_state is not h11.DONE:
             return False
         self._h11.start_next_cycle()
-        self.busy = False
+        self._requests.busy = False
         return True
 
     async def _flush_rest(self) -> bool:
@@ -218,7 +215,7 @@
     ) -> None:
         """Run the handler; cancel it when the caller disconnects."""
         work = asyncio.create_task(self._handler(response, req))
-        watch = asyncio.create_task(self._wait_for_disconnect())
+        watch = asyncio.create_task(self._requests.wait_for_disconnect())
         try:
             await asyncio.wait(
                 (work, watch), return_when=asyncio.FIRST_COMPLETED
@@ -239,141 +236,6 @@
                 "the response could not be written"
             ) from error
 
-    async def _wait_for_disconnect(self) -> None:
-        """Return when the caller disconnects.
-
-        Buffers pipelined requests meanwhile.
-        """
-        while self._pipelined_bytes < _MAX_PIPELINED_BYTES:
-            data = await self._reader.read(_READ_BYTES)
-            if not data:
-                return
-            self._pipelined_bytes += len(data)
-            if self.memory is not None:
-                self.memory.set_body(self._body_bytes + self._pipelined_bytes)
-            self._h11.receive_data(data)
-        await asyncio.get_running_loop().create_future()
-
-    async def _read_request(self) -> caller_request.Request | None:
-        limits = self._limits()
-        self._pipelined_bytes = 0
-        self._body_bytes = 0
-        head = await self._read_head(limits)
-        if head is None:
-            return None
-        self._method = head.method
-        received_at = self._clock.monotonic()
-        headers = list(head.headers)
-        caller_request.check_framing(headers, limits)
-        self._body_refused = (
-            caller_request.has_body(headers)
-            and self.memory is not None
-            and not self.memory.admits_body()
-        )
-        body = b""
-        if not self._body_refused:
-            body = await self._read_whole_body(limits)
-        if self._body_refused:
-            # Reads no more while the refusal is written.
-            self._pipelined_bytes = _MAX_PIPELINED_BYTES
-        return caller_request.Request(
-            method=head.method,
-            target=head.target,
-            headers=headers,
-            raw_headers=list(head.headers.raw_items()),
-            body=body if caller_request.is_framed(headers) else None,
-            received_at=received_at,
-            body_refused=self._body_refused,
-        )
-
-    async def _read_whole_body(self, limits: desired.RequestLimits) -> bytes:
-        if self._h11.they_are_waiting_for_100_continue:
-            go_on = h11.InformationalResponse(status_code=100, headers=[])
-            await self._write(self._send(go_on))
-        body = await self._read_body(limits)
-        if self.memory is not None:
-            self.memory.set_body(len(body))
-        self._body_bytes = len(body)
-        return body
-
-    async def _read_head(
-        self, limits: desired.RequestLimits
-    ) -> h11.Request | None:
-        event = self._next_event()
-        if event is h11.NEED_DATA and not self._h11.trailing_data[0]:
-            if not await self._receive(limits.idle_timeout):
-                return None
-            event = self._next_event()
-        self.busy = True
-        deadline = self._clock.monotonic() + limits.head_timeout
-        while event is h11.NEED_DATA:
-            left = deadline - self._clock.monotonic()
-            if not await self._receive(max(left, datetime.timedelta())):
-                if self._reader.at_eof():
-                    return None
-                raise caller_request.BadRequestError(
-                    http.HTTPStatus.REQUEST_TIMEOUT,
-                    "the request head did not arrive in time",
-                )
-            event = self._next_event()
-        if isinstance(event, h11.Request):
-            return event
-        return None
-
-    async def _read_body(self, limits: desired.RequestLimits) -> bytes:
-        parts: list[bytes] = []
-        size = 0
-        while True:
-            event = self._next_event()
-            if event is h11.NEED_DATA:
-                if not await self._may_read_body():
-                    return b""
-                if await self._receive(limits.idle_timeout):
-                    continue
-                if self._reader.at_eof():
-                    raise caller_request.disconnected_error(
-                        "within its request"
-                    )
-                raise caller_request.BadRequestError(
-                    http.HTTPStatus.REQUEST_TIMEOUT,
-                    "the request body stalled for too long",
-                )
-            if isinstance(event, h11.Data):
-                size += len(event.data)
-                if size > limits.max_body_bytes:
-                    raise caller_request.too_large_error(limits)
-                parts.append(bytes(event.data))
-                if self.memory is not None:
-                    self.memory.set_body(size)
-                continue
-            return b"".join(parts)
-
-    async def _may_read_body(self) -> bool:
-        """Wait for memory; note if the request is refused for lack of it."""
-        if self.memory is None or await self.memory.wait_to_read_body():
-            return True
-        self._body_refused = True
-        return False
-
-    def _next_event(self) -> Any:
-        try:
-            return self._h11.next_event()
-        except h11.RemoteProtocolError as exc:
-            raise caller_request.BadRequestError(
-                http.HTTPStatus(exc.error_status_hint), str(exc)
-            ) from exc
-
-    async def _receive(self, wait: datetime.timedelta) -> bool:
-        """Read more data; return whether any arrived within ``wait``."""
-        try:
-            async with asyncio.timeout(wait.total_seconds()):
-                data = await self._reader.read(_READ_BYTES)
-        except TimeoutError:
-            return False
-        if data:
-            self._h11.receive_data(data)
-        return bool(data)
-
     async def _send_error_response(
         self, exc: caller_request.BadRequestError
     ) -> None:
@@ -400,7 +262,7 @@
             self._writer.write_eof()
         # Closing a socket with unread data resets the connection, and the
         # caller could lose the error response.
-        await self._receive(datetime.timedelta(milliseconds=200))
+        await self._requests.discard(_ERROR_DISCARD_TIME)
 
 
 def _h11_connection(limits: desired.RequestLimits) -> h11.Connection:
--- /dev/null
+++ b/testing/crowds/test_crowds.py
@@ -0,0 +1,43 @@
+# SPDX-License-Identifier: Apache-2.0
+"""A real process under crowds of clients that don't behave.
+
+What is checked does not depend on the speed of the machine: that the process
+lives, how much memory and how many descriptors it uses, and that an ordinary
+request is answered while the crowd is still connected.
+"""
+
+import asyncio
+
+import crowd_cases
+import crowd_rig
+import pytest
+
+
+def _check(system: crowd_rig.System) -> None:
+    assert system.running, system.log_tail()
+    assert system.max_memory_mb <= crowd_cases.MAX_MEMORY_MB
+    assert system.max_descriptors <= crowd_cases.MAX_DESCRIPTORS
+
+
+@pytest.mark.parametrize(
+    "name",
+    [
+        "callers-ahead",
+        "callers-bodies",
+        "callers-garbage",
+        "callers-large-unread",
+        "callers-trailer",
+        "callers-unread",
+        "metrics-garbage",
+        "ready-garbage",
+        "state-garbage",
+    ],
+)
+def test_crowd_leaves_the_process_within_its_bounds(name, tmp_path):
+    async def main() -> None:
+        async with crowd_rig.System(tmp_path, crowd_cases.LIMITS) as system:
+            await system.play(crowd_cases.CROWDS[name])
+            await system.serve_ordinary_request()
+            _check(system)
+
+    asyncio.run(main())
--- a/testing/support/crowd_rig.py
+++ b/testing/support/crowd_rig.py
@@ -31,6 +31,8 @@
 #: Longest time that an ordinary caller waits for one answer.
 _CALLER_TIMEOUT_S = 10.0
 _TRICKLE_INTERVAL_S = 0.5
+#: Time for which a crowd stays before it is looked at what it has done.
+_SETTLE_S = 2.0
 _READINESS_CHECK = (
     b"GET /readiness HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
 )
@@ -317,6 +319,7 @@
         Their connections stay open until :meth:`close_clients`.
         """
         await asyncio.gather(*(self._play_waves(one) for one in crowds))
+        await asyncio.sleep(_SETTLE_S)
 
     async def _play_waves(self, crowd: crowd_cases.Crowd) -> None:
         for _ in range(crowd.waves):
