Make room for new connections, and bound them at each HTTP address

Ordinary callers were closed unread for as long as other clients kept idle or half-sent requests open, and readiness checks could take the descriptors of all else.

Cause, one for both: a connection that does nothing was worth as much as a new one. At the bound of callers all new ones were refused; the addresses of readiness checks and metrics had no bound; and callers were counted only once they were served, so that a burst went beyond theirs. Ruled out: the gate for late event loops, which refused a few of these connections only.

All three addresses are now served by http1.ConnectionServer. Near its bound OpenConnections names the connection to close: one without a whole request yet, oldest first; then the longest idle; then one whose client has not taken its response for a second. A request in progress is never interrupted. Closed and refused connections are counted by listener and reason, and logged once a second at most. Readiness checks and metrics get a 32nd of the descriptors each, 128 at most: the platform opens one of each at a time.

--- a/src/lugcross/connection_limits/__init__.py
+++ b/src/lugcross/connection_limits/__init__.py
@@ -3,12 +3,18 @@
 
 from lugcross.connection_limits.gate import ConnectionGate
 from lugcross.connection_limits.gate import default_max_connections
+from lugcross.connection_limits.gate import default_max_own_connections
 from lugcross.connection_limits.gate import Refusal
 from lugcross.connection_limits.loop_lag import LoopLag
+from lugcross.connection_limits.open_connections import ConnState
+from lugcross.connection_limits.open_connections import OpenConnections
 
 __all__ = [
+    "ConnState",
     "ConnectionGate",
     "LoopLag",
+    "OpenConnections",
     "Refusal",
     "default_max_connections",
+    "default_max_own_connections",
 ]
--- a/src/lugcross/connection_limits/gate.py
+++ b/src/lugcross/connection_limits/gate.py
@@ -31,6 +31,10 @@
 #: File descriptors that are left to connections to backend servers, peers and
 #: the store, and to logs.
 _RESERVED_DESCRIPTOR_FRACTION = 0.5
+#: The same for connections to an address that no caller uses, such as that of
+#: readiness checks: a small part of all, and enough for a few clients.
+_OWN_DESCRIPTOR_FRACTION = 1 / 32
+_MAX_OWN_CONNECTIONS = 128
 
 
 class Refusal(enum.Enum):
@@ -55,6 +59,18 @@
     return int(descriptor_limit * (1 - _RESERVED_DESCRIPTOR_FRACTION))
 
 
+def default_max_own_connections(descriptor_limit: int) -> float:
+    """Return how many connections an address may have that no caller uses.
+
+    :param descriptor_limit: as for :func:`default_max_connections`.
+    """
+    if descriptor_limit == resource.RLIM_INFINITY:
+        return _MAX_OWN_CONNECTIONS
+    return min(
+        _MAX_OWN_CONNECTIONS, int(descriptor_limit * _OWN_DESCRIPTOR_FRACTION)
+    )
+
+
 @final
 class ConnectionGate:
     """Admits or refuses new connections of callers; no I/O.
--- a/src/lugcross/edge/app.py
+++ b/src/lugcross/edge/app.py
@@ -7,13 +7,11 @@
 import functools
 import pathlib
 import random
-import resource
 from typing import Any
 from typing import final
 
 from absl import logging
 
-from lugcross import address
 from lugcross import clock as clock_lib
 from lugcross import connection_limits
 from lugcross import desired
@@ -21,6 +19,7 @@
 from lugcross.edge import edge_state as edge_state_lib
 from lugcross.edge import engine_transport
 from lugcross.edge import evacuation_reports
+from lugcross.edge import listeners
 from lugcross.edge import map_leadership
 from lugcross.edge import map_manager
 from lugcross.edge import metrics as metrics_lib
@@ -49,21 +48,11 @@
 _DRAIN_NOTICE = datetime.timedelta(seconds=3)
 #: Time between two checks whether all connections have been closed.
 _DRAIN_CHECK_INTERVAL_S = 0.05
-#: Connections that may wait to be accepted; enough for all callers that
-#: reconnect after this process was frozen for a second.
-_MAX_PENDING_CONNECTIONS = 1024
 #: Bits of the random process number in the map versions that this process
 #: allocates.
 _PROCESS_NUMBER_BITS = 16
 #: Upper bound of the age gauge, shown while the age is not known.
 _MAX_SHOWN_AGE_S = 1e6
-#: Limits for callers until the first desired state is known.
-_DEFAULT_LIMITS = desired.RequestLimits(
-    max_head_bytes=16_384,
-    max_body_bytes=1_048_576,
-    head_timeout=datetime.timedelta(seconds=3),
-    idle_timeout=datetime.timedelta(seconds=15),
-)
 
 
 @final
@@ -165,10 +154,14 @@
             self._map_manager.servers_of_broken_groups
         )
         self.state_sync.seen_slow_backends = self._map_manager.slow_servers
-        self._conns: set[http1.ServerConn] = set()
-        descriptor_limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-        self._connection_gate = connection_limits.ConnectionGate(
-            connection_limits.default_max_connections(descriptor_limit)
+        self._listeners = listeners.Listeners(
+            settings.listen,
+            self.edge_state,
+            handle_caller=self._request_handler.handle,
+            handle_readiness=readiness.handler(self.unready_reason),
+            handle_metrics=self._handle_metrics,
+            is_stopping=lambda: self._stopping_since is not None,
+            clock=clock,
         )
         self._stopping_since: clock_lib.Instant | None = None
         self._stop_requested = asyncio.Event()
@@ -192,30 +185,8 @@
         self._signals.attach(
             loop, on_stop=self._request_stop, on_reload=self._reload
         )
-        listen = self._settings.listen
         await self.state_sync.start()
-        callers = http1.Listener(
-            self._serve_caller,
-            admit=self._admit_connection,
-            buffer_bytes=http1.CALLER_BUFFER_BYTES,
-        )
-        callers.start(
-            *address.split_host_port(listen.callers),
-            backlog=_MAX_PENDING_CONNECTIONS,
-        )
-        servers: list[asyncio.Server | http1.Listener] = [
-            callers,
-            await asyncio.start_server(
-                self._serve_readiness, *address.split_host_port(listen.ready)
-            ),
-        ]
-        if listen.metrics:
-            servers.append(
-                await asyncio.start_server(
-                    self._serve_metrics,
-                    *address.split_host_port(listen.metrics),
-                )
-            )
+        self._listeners.start()
         tasks = [asyncio.create_task(one) for one in self._background_loops()]
         logging.info("started", extra={"domain": self._settings.domain})
         try:
@@ -223,8 +194,7 @@
             await self._drain()
         finally:
             self._signals.detach()
-            for server in servers:
-                server.close()
+            self._listeners.close()
             for task in tasks:
                 task.cancel()
             self.state_sync.close()
@@ -256,46 +226,13 @@
                 self.edge_state.reachability, self._clock
             ).run(),
             connection_limits.LoopLag(
-                self._clock, self._connection_gate.start_interval
+                self._clock, self._listeners.note_lag
             ).run(),
             self._sweep(),
         ]
 
-    def _admit_connection(self) -> bool:
-        """Return whether to serve a new connection; count it if not."""
-        refusal = self._connection_gate.try_admit(len(self._conns))
-        if refusal is None:
-            return True
-        self.edge_state.metrics.count_closed_unread(refusal.value)
-        return False
-
-    async def _serve_caller(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        conn = http1.ServerConn(
-            reader,
-            writer,
-            self._request_handler.handle,
-            limits=self._limits,
-            draining=lambda: self._stopping_since is not None,
-            clock=self._clock,
-            held=self.edge_state.held_bytes,
-        )
-        self._conns.add(conn)
-        try:
-            await conn.run()
-        finally:
-            self._conns.discard(conn)
-
-    async def _serve_readiness(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        await self._serve_platform(
-            reader, writer, readiness.handler(self.unready_reason)
-        )
-
-    async def _serve_metrics(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    async def _handle_metrics(
+        self, response: http1.ResponseWriter, req: http1.Request
     ) -> None:
         age = self.edge_state.backends.age()
         state = self.edge_state.desired
@@ -305,7 +242,7 @@
             backends_age_seconds=min(age.total_seconds(), _MAX_SHOWN_AGE_S),
             store_lost=float(self.state_sync.store_health.failing),
             peers=len(self.state_sync.peers.live()),
-            connections=len(self._conns),
+            connections=self._listeners.callers.count,
             edge_held_bytes=self.edge_state.held_bytes.total,
             edge_held_bytes_limit=self.edge_state.held_bytes.limit or 0,
             suspects=len(self.edge_state.crash_tracker.registry),
@@ -318,9 +255,10 @@
         self.edge_state.metrics.set_workspace_running(
             self.edge_state.workspace_usage.counts_by_service()
         )
-        serve = functools.partial(
-            metrics_lib.serve,
+        await metrics_lib.serve(
             self.edge_state.metrics,
+            response,
+            req,
             json_lists={
                 metrics_lib.SUSPECTS_PATH: (
                     self.edge_state.crash_tracker.suspects_json
@@ -332,31 +270,6 @@
                 ),
             },
         )
-        await self._serve_platform(reader, writer, serve)
-
-    async def _serve_platform(
-        self,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-        handler: http1.Handler,
-    ) -> None:
-        """Serve one connection from the platform, such as a metrics scrape.
-
-        Unlike callers' connections, these do not delay a shutdown.
-        """
-        conn = http1.ServerConn(
-            reader,
-            writer,
-            handler,
-            limits=lambda: _DEFAULT_LIMITS,
-            draining=lambda: self._stopping_since is not None,
-            clock=self._clock,
-        )
-        await conn.run()
-
-    def _limits(self) -> desired.RequestLimits:
-        state = self.edge_state.desired
-        return state.limits if state else _DEFAULT_LIMITS
 
     def _refuses_requests(self) -> bool:
         """Return whether new requests are refused because of a shutdown."""
@@ -370,6 +283,7 @@
         while True:
             await asyncio.sleep(_SWEEP_INTERVAL_S)
             self.edge_state.drop_outdated()
+            self._listeners.log_closed()
             self.reload_if_changed()
 
     async def _drain(self) -> None:
@@ -383,14 +297,14 @@
         self._stopping_since = begun
         self.state_sync.leave()
         end = begun + self.edge_state.bounds.grace_period * _DRAIN_GRACE_RATIO
+        callers = self._listeners.callers
         while self._clock.monotonic() < end:
             if self._refuses_requests():
-                for conn in list(self._conns):
-                    conn.close_if_idle()
-                if not self._conns:
+                callers.close_idle()
+                if not callers.count:
                     break
             await asyncio.sleep(_DRAIN_CHECK_INTERVAL_S)
-        logging.info("drained", extra={"left": len(self._conns)})
+        logging.info("drained", extra={"left": callers.count})
 
     def _request_stop(self) -> None:
         logging.info("stop requested")
--- a/src/lugcross/edge/metrics.py
+++ b/src/lugcross/edge/metrics.py
@@ -4,12 +4,14 @@
 from collections.abc import Callable
 from collections.abc import Mapping
 import datetime
+import enum
 import heapq
 import http
 from typing import final
 
 import prometheus_client
 
+from lugcross import connection_limits
 from lugcross import http1
 from lugcross import ids
 
@@ -63,6 +65,12 @@
             ("reason",),
             registry=self._registry,
         )
+        self._closed = prometheus_client.Counter(
+            "lugcross_edge_connections_closed",
+            "Connections closed for what their client does, or refused.",
+            ("listener", "reason"),
+            registry=self._registry,
+        )
         self._store_restores = prometheus_client.Counter(
             "lugcross_store_copies",
             "Returns of the store from an older copy.",
@@ -220,9 +228,11 @@
         """Count a request refused because the servers are cold."""
         self._cold_refused.labels(service).inc()
 
-    def count_closed_unread(self, reason: str) -> None:
-        """Count a connection that was closed before anything was read."""
-        self._closed_unread.labels(reason).inc()
+    def count_closed(self, listener: str, reason: enum.Enum) -> None:
+        """Count a connection closed for what its client does, or refused."""
+        self._closed.labels(listener, reason.value).inc()
+        if isinstance(reason, connection_limits.Refusal):
+            self._closed_unread.labels(reason.value).inc()
 
     def count_suspect_refused(self, service: str) -> None:
         """Count a request refused because it is a crash suspect."""
--- a/src/lugcross/http1/__init__.py
+++ b/src/lugcross/http1/__init__.py
@@ -11,8 +11,10 @@
 from lugcross.http1.client import NoConnectionError
 from lugcross.http1.client import ResponseHead
 from lugcross.http1.client import ResponseMemory
+from lugcross.http1.connection_server import ConnectionServer
 from lugcross.http1.listener import Listener
 from lugcross.http1.response_writer import ResponseWriter
+from lugcross.http1.server import CloseReason
 from lugcross.http1.server import Handler
 from lugcross.http1.server import ServerConn
 
@@ -21,7 +23,9 @@
     "CALLER_BUFFER_BYTES",
     "CallerDisconnectedError",
     "ClientConn",
+    "CloseReason",
     "ConnectionBrokenError",
+    "ConnectionServer",
     "Handler",
     "Listener",
     "NoConnectionError",
--- /dev/null
+++ b/src/lugcross/http1/connection_server.py
@@ -0,0 +1,153 @@
+# SPDX-License-Identifier: Apache-2.0
+"""Serves the connections of one listening address, up to a bound."""
+
+import asyncio
+import collections
+from collections.abc import Callable
+import enum
+from typing import final
+
+from absl import logging
+
+from lugcross import clock as clock_lib
+from lugcross import connection_limits
+from lugcross import desired
+from lugcross import held_bytes
+from lugcross.http1 import caller_memory
+from lugcross.http1 import listener
+from lugcross.http1 import server
+
+#: Connections that may wait to be accepted; enough for all clients that
+#: reconnect after this process was frozen for a second.
+_MAX_PENDING_CONNECTIONS = 1024
+
+
+@final
+class ConnectionServer:
+    """The connections of one listening address.
+
+    :param name: name of the address, for the log.
+    :param gate: admits new connections; None to admit all up to the bound.
+    :param max_connections: bound on open connections.
+    :param count_closed: called with the reason for each connection that is
+        closed for what its client does, or refused.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        handler: server.Handler,
+        *,
+        limits: Callable[[], desired.RequestLimits],
+        draining: Callable[[], bool],
+        clock: clock_lib.Clock,
+        held: held_bytes.HeldBytes,
+        max_connections: float,
+        count_closed: Callable[[enum.Enum], None],
+        gate: connection_limits.ConnectionGate | None = None,
+    ) -> None:
+        self._name = name
+        self._handler = handler
+        self._limits = limits
+        self._draining = draining
+        self._clock = clock
+        self._held = held
+        self._gate = gate
+        self._count_closed = count_closed
+        self._conns: set[server.ServerConn] = set()
+        self._open: connection_limits.OpenConnections[server.ServerConn] = (
+            connection_limits.OpenConnections(max_connections)
+        )
+        #: Connections closed since the last line of the log, by reason.
+        self._closed_counts: collections.Counter[str] = collections.Counter()
+        self._listener = listener.Listener(
+            self._serve,
+            admit=self._admit,
+            on_failure=self._open.cancel,
+            buffer_bytes=caller_memory.CALLER_BUFFER_BYTES,
+        )
+
+    @property
+    def count(self) -> int:
+        """Number of open connections."""
+        return self._open.count
+
+    @property
+    def port(self) -> int:
+        """The port that it listens on."""
+        return self._listener.port
+
+    def start(self, host: str, port: int) -> None:
+        """Listen.
+
+        :raises OSError: if the address is not available.
+        """
+        self._listener.start(host, port, backlog=_MAX_PENDING_CONNECTIONS)
+
+    def close(self) -> None:
+        """Stop listening; open connections go on."""
+        self._listener.close()
+
+    def close_idle(self) -> None:
+        """Close the connections that carry no request."""
+        for conn in list(self._conns):
+            conn.close_if_idle()
+
+    def log_closed(self) -> None:
+        """Write one line about the connections closed since the last one."""
+        if self._closed_counts:
+            logging.warning(
+                "connections closed",
+                extra={
+                    "listener": self._name,
+                    "counts": {**self._closed_counts},
+                },
+            )
+            self._closed_counts.clear()
+
+    def _admit(self) -> bool:
+        """Return whether to serve a new connection; count it if not."""
+        useless = self._open.take_useless(self._clock.monotonic())
+        if useless is not None:
+            useless.abort(server.CloseReason.MADE_ROOM)
+        refusal = None
+        if self._open.is_full:
+            refusal = connection_limits.Refusal.TOO_MANY
+        elif self._gate is not None:
+            refusal = self._gate.try_admit(self._open.count)
+        if refusal is None:
+            self._open.reserve()
+            return True
+        self._note_closed(refusal)
+        return False
+
+    def _note_closed(self, reason: enum.Enum) -> None:
+        self._closed_counts[reason.value] += 1
+        self._count_closed(reason)
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        conn = server.ServerConn(
+            reader,
+            writer,
+            self._handler,
+            limits=self._limits,
+            draining=self._draining,
+            clock=self._clock,
+            held=self._held,
+            on_state=self._update_state,
+            on_closed=self._note_closed,
+        )
+        self._conns.add(conn)
+        self._open.add(conn)
+        try:
+            await conn.run()
+        finally:
+            self._conns.discard(conn)
+            self._open.remove(conn)
+
+    def _update_state(
+        self, conn: server.ServerConn, state: connection_limits.ConnState
+    ) -> None:
+        self._open.update(conn, state, self._clock.monotonic())
--- a/src/lugcross/http1/listener.py
+++ b/src/lugcross/http1/listener.py
@@ -37,6 +37,7 @@
     :param serve: serves one connection.
     :param admit: tells, for each new connection, whether to serve it.
     :param buffer_bytes: limit of the read buffer of a connection.
+    :param on_failure: called when an admitted connection is not served.
     """
 
     def __init__(
@@ -45,8 +46,10 @@
         *,
         admit: Callable[[], bool],
         buffer_bytes: int,
+        on_failure: Callable[[], None] = lambda: None,
     ) -> None:
         self._serve = serve
+        self._on_failure = on_failure
         self._admit = admit
         self._buffer_bytes = buffer_bytes
         self._sock: socket.socket | None = None
@@ -124,7 +127,10 @@
 
     def _end_task(self, task: asyncio.Task[object]) -> None:
         self._tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
+        if task.cancelled():
+            self._on_failure()
+        elif task.exception() is not None:
+            self._on_failure()
             logging.warning(
                 "connection not served", extra={"why": str(task.exception())}
             )
--- a/src/lugcross/http1/server.py
+++ b/src/lugcross/http1/server.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from collections.abc import Coroutine
 import datetime
+import enum
 from typing import Any
 from typing import final
 
@@ -12,6 +13,7 @@
 import h11
 
 from lugcross import clock as clock_lib
+from lugcross import connection_limits
 from lugcross import desired
 from lugcross import held_bytes
 from lugcross.http1 import caller_memory
@@ -28,6 +30,17 @@
 _MAX_JOINED_BYTES = 65_536
 
 
+class CloseReason(enum.Enum):
+    """Why a connection is closed for what its client does.
+
+    ``MADE_ROOM``: for a new connection, as it was of no use.
+    ``NOT_READING``: its client does not take the response.
+    """
+
+    MADE_ROOM = "made-room"
+    NOT_READING = "not-reading"
+
+
 Handler = Callable[
     [response_writer.ResponseWriter, caller_request.Request],
     Coroutine[Any, Any, None],
@@ -43,6 +56,9 @@
         current response.
     :param held: counts and bounds what is held for this caller; None, or one
         without a limit, to let each write wait for the caller instead.
+    :param on_state: called with each new state of this connection; it begins
+        by waiting for a request.
+    :param on_closed: called if it is closed for what its client does.
     """
 
     def __init__(
@@ -55,7 +71,13 @@
         draining: Callable[[], bool],
         clock: clock_lib.Clock,
         held: held_bytes.HeldBytes | None = None,
+        on_state: Callable[
+            ["ServerConn", connection_limits.ConnState], None
+        ] = lambda conn, state: None,
+        on_closed: Callable[[CloseReason], None] = lambda reason: None,
     ) -> None:
+        self._on_state = on_state
+        self._on_closed = on_closed
         self._reader = reader
         self._writer = writer
         self._handler = handler
@@ -92,6 +114,11 @@
                 self.memory.close()
             self._writer.close()
 
+    def abort(self, reason: CloseReason) -> None:
+        """Close the connection at once and discard what is unsent."""
+        self._on_closed(reason)
+        self._abort()
+
     def close_if_idle(self) -> None:
         """Close the connection unless a request is being read or served."""
         if not self._requests.busy:
@@ -178,6 +205,7 @@
         if req is None:
             return False
         response = response_writer.ResponseWriter(self)
+        self._on_state(self, connection_limits.ConnState.SERVING)
         await self._run_handler(response, req)
         if not response.finished or not await self._flush_rest():
             # Aborting shows the caller that the response is incomplete.
@@ -193,6 +221,7 @@
             return False
         self._h11.start_next_cycle()
         self._requests.busy = False
+        self._on_state(self, connection_limits.ConnState.WAITING)
         return True
 
     async def _flush_rest(self) -> bool:
@@ -200,11 +229,14 @@
 
         Handlers wait for long ones until their deadline.
         """
+        if self.memory is not None and not self.memory.outbox.is_empty:
+            self._on_state(self, connection_limits.ConnState.DELIVERING)
         timeout = self._limits().idle_timeout
         try:
             async with asyncio.timeout(timeout.total_seconds()):
                 await self.flush()
         except TimeoutError:
+            self._on_closed(CloseReason.NOT_READING)
             return False
         return True
 
