Do not let clients that read nothing keep the readiness address

A few clients that sent readiness checks ahead and read no answers kept the platform's own checks out, so that the process would have been taken out of service.

Causes, found one after the other with a crowd added for it (ready-unread-in-turn, 24 clients in 12 waves): without a bound on held bytes a write to these clients waited for ever, in the state of a request in progress; and with one, a client that has sent thousands of requests ahead is always within a request, so that its connection was never of no use. Ruled out: descriptors (32 of 512 open) and memory (43 MB).

Where there is hardly room, a client that sends ahead gets the response to its present request with Connection: close; its next request is not read. The tests of crowds now also check readiness afterwards.

--- a/src/lugcross/connection_limits/open_connections.py
+++ b/src/lugcross/connection_limits/open_connections.py
@@ -32,11 +32,14 @@
 
     ``WAITING``: for a request, or for the rest of one.
     ``SERVING``: a whole request is being served.
+    ``SERVING_AHEAD``: the same; it was sent before the response to the request
+    before it was complete.
     ``DELIVERING``: the response is complete, and its client takes it.
     """
 
     WAITING = "waiting"
     SERVING = "serving"
+    SERVING_AHEAD = "serving-ahead"
     DELIVERING = "delivering"
 
 
@@ -58,6 +61,8 @@
         self._waiting: dict[ConnT, None] = {}
         #: When connections began to deliver, earliest first.
         self._delivering: dict[ConnT, clock_lib.Instant] = {}
+        #: Connections that serve a request sent ahead, earliest first.
+        self._serving_ahead: dict[ConnT, None] = {}
 
     @property
     def count(self) -> int:
@@ -94,6 +99,8 @@
             self._waiting[conn] = None
         elif state is ConnState.DELIVERING:
             self._delivering[conn] = now
+        elif state is ConnState.SERVING_AHEAD:
+            self._serving_ahead[conn] = None
 
     def remove(self, conn: ConnT) -> None:
         """Note that a connection is closed."""
@@ -107,7 +114,7 @@
 
         :returns: None if there is room, or if all are of use.
         """
-        if self.count < self._max_count * _FULL_FRACTION:
+        if not self._is_nearly_full:
             return None
         conn = next(iter(self._unserved), None)
         if conn is None:
@@ -118,6 +125,24 @@
             self._forget_state(conn)
         return conn
 
+    def take_sending_ahead(self) -> ConnT | None:
+        """Return a connection to close after the request it serves.
+
+        It is not returned again until it serves a further one.
+
+        :returns: None if there is room, or if no client sends ahead.
+        """
+        if not self._is_nearly_full:
+            return None
+        conn = next(iter(self._serving_ahead), None)
+        if conn is not None:
+            self._forget_state(conn)
+        return conn
+
+    @property
+    def _is_nearly_full(self) -> bool:
+        return self.count >= self._max_count * _FULL_FRACTION
+
     def _longest_delivering(self, now: clock_lib.Instant) -> ConnT | None:
         for conn, since in self._delivering.items():
             return conn if now - since >= _MIN_DELIVERY_TIME else None
@@ -127,3 +152,4 @@
         self._unserved.pop(conn, None)
         self._waiting.pop(conn, None)
         self._delivering.pop(conn, None)
+        self._serving_ahead.pop(conn, None)
--- a/src/lugcross/edge/listeners.py
+++ b/src/lugcross/edge/listeners.py
@@ -83,7 +83,7 @@
                 limits=lambda: _OWN_LIMITS,
                 draining=is_stopping,
                 clock=clock,
-                held=held_bytes.HeldBytes(None),
+                held=held_bytes.HeldBytes(_OWN_HELD_BYTES),
                 max_connections=connection_limits.default_max_own_connections(
                     descriptor_limit
                 ),
--- a/src/lugcross/http1/connection_server.py
+++ b/src/lugcross/http1/connection_server.py
@@ -107,9 +107,7 @@
 
     def _admit(self) -> bool:
         """Return whether to serve a new connection; count it if not."""
-        useless = self._open.take_useless(self._clock.monotonic())
-        if useless is not None:
-            useless.abort(server.CloseReason.MADE_ROOM)
+        self._make_room()
         refusal = None
         if self._open.is_full:
             refusal = connection_limits.Refusal.TOO_MANY
@@ -121,6 +119,16 @@
         self._note_closed(refusal)
         return False
 
+    def _make_room(self) -> None:
+        """Close a connection if there is hardly room for new ones."""
+        useless = self._open.take_useless(self._clock.monotonic())
+        if useless is not None:
+            useless.abort(server.CloseReason.MADE_ROOM)
+            return
+        ahead = self._open.take_sending_ahead()
+        if ahead is not None:
+            ahead.close_after_response(server.CloseReason.MADE_ROOM)
+
     def _note_closed(self, reason: enum.Enum) -> None:
         self._closed_counts[reason.value] += 1
         self._count_closed(reason)
--- a/src/lugcross/http1/request_reader.py
+++ b/src/lugcross/http1/request_reader.py
@@ -29,6 +29,8 @@
     :param write: writes to the caller.
     :param memory: what is held for this caller; None if that is not bounded.
     :ivar method: method of the last request.
+    :ivar was_sent_ahead: whether it began to arrive before the response to the
+        request before it was delivered.
     :ivar busy: whether a request is being read or served. The owner resets
         it.
     """
@@ -52,6 +54,7 @@
         self._body_bytes = 0
         self.method = b""
         self.busy = False
+        self.was_sent_ahead = False
         self.body_refused = False
 
     async def read_request(
@@ -103,6 +106,7 @@
         """Note that the response has been delivered."""
         if self._memory is not None:
             self._memory.end_request(self._unparsed_bytes())
+        self.was_sent_ahead = bool(self._unparsed_bytes())
 
     async def discard(self, wait: datetime.timedelta) -> None:
         """Read once more and discard it; wait for it for some time."""
--- a/src/lugcross/http1/server.py
+++ b/src/lugcross/http1/server.py
@@ -83,6 +83,7 @@
         self._handler = handler
         self._limits = limits
         self._draining = draining
+        self._is_last_response = False
         self._clock = clock
         self._h11 = _h11_connection(limits())
         self.memory: caller_memory.CallerMemory | None = None
@@ -119,6 +120,11 @@
         self._on_closed(reason)
         self._abort()
 
+    def close_after_response(self, reason: CloseReason) -> None:
+        """Serve no further request on this connection."""
+        self._on_closed(reason)
+        self._is_last_response = True
+
     def close_if_idle(self) -> None:
         """Close the connection unless a request is being read or served."""
         if not self._requests.busy:
@@ -138,7 +144,11 @@
             body = b""
         elif complete:
             headers.append((b"Content-Length", str(len(body)).encode()))
-        if self._draining() or self._requests.body_refused:
+        if (
+            self._draining()
+            or self._is_last_response
+            or self._requests.body_refused
+        ):
             headers.append((b"Connection", b"close"))
         parts = [
             self._send(
@@ -205,7 +215,12 @@
         if req is None:
             return False
         response = response_writer.ResponseWriter(self)
-        self._on_state(self, connection_limits.ConnState.SERVING)
+        self._on_state(
+            self,
+            connection_limits.ConnState.SERVING_AHEAD
+            if self._requests.was_sent_ahead
+            else connection_limits.ConnState.SERVING,
+        )
         await self._run_handler(response, req)
         if not response.finished or not await self._flush_rest():
             # Aborting shows the caller that the response is incomplete.
@@ -215,7 +230,7 @@
             await caller_memory.discard_rest(self._reader, self._writer)
             return False
         self._requests.end_request()
-        if self._h11.our_state is not h11.DONE:
+        if self._is_last_response or self._h11.our_state is not h11.DONE:
             return False
         if self._h11.their_state is not h11.DONE:
             return False
--- a/testing/connection_limits/test_open_connections.py
+++ b/testing/connection_limits/test_open_connections.py
@@ -11,6 +11,7 @@
 MAX_COUNT = 8
 WAITING = connection_limits.ConnState.WAITING
 SERVING = connection_limits.ConnState.SERVING
+AHEAD = connection_limits.ConnState.SERVING_AHEAD
 DELIVERING = connection_limits.ConnState.DELIVERING
 
 Conns = connection_limits.OpenConnections[str]
@@ -98,3 +99,19 @@
         conns.remove(gone)
         _open(conns, f"n{num}")
     assert conns.count <= MAX_COUNT
+
+
+def test_one_that_sends_ahead_serves_no_further_request(conns):
+    _open(conns, *"abcdefgh")
+    for name in "abcdefgh":
+        conns.update(name, SERVING, _now())
+    for name in "dc":
+        conns.update(name, AHEAD, _now())
+    assert conns.take_useless(_now(1000)) is None
+    assert [conns.take_sending_ahead() for _ in range(3)] == ["d", "c", None]
+
+
+def test_sending_ahead_is_no_harm_while_there_is_room(conns):
+    _open(conns, *"abcdef")
+    conns.update("a", AHEAD, _now())
+    assert conns.take_sending_ahead() is None
--- a/testing/crowds/test_crowds.py
+++ b/testing/crowds/test_crowds.py
@@ -34,8 +34,11 @@
         "callers-unread",
         "metrics-garbage",
         "metrics-idle",
+        "metrics-unread",
         "ready-garbage",
         "ready-idle",
+        "ready-unread",
+        "ready-unread-in-turn",
         "state-garbage",
     ],
 )
@@ -44,6 +47,7 @@
         async with crowd_rig.System(tmp_path, crowd_cases.LIMITS) as system:
             await system.play(crowd_cases.CROWDS[name])
             await system.serve_ordinary_request()
+            await system.answer_readiness_check()
             _check(system)
 
     asyncio.run(main())
--- a/testing/support/crowd_cases.py
+++ b/testing/support/crowd_cases.py
@@ -170,6 +170,13 @@
         repeated=own_request(b"/metrics") * 100,
         repeats=50,
     ),
+    "ready-unread-in-turn": Crowd(
+        port=Port.READY,
+        clients=2,
+        waves=12,
+        repeated=own_request(b"/readiness") * 100,
+        repeats=500,
+    ),
     "ready-unread-finished": Crowd(
         port=Port.READY,
         clients=300,
--- a/testing/support/crowd_rig.py
+++ b/testing/support/crowd_rig.py
@@ -286,6 +286,17 @@
                 assert self.running, self.log_tail()
                 await asyncio.sleep(0.1)
 
+    async def answer_readiness_check(self) -> None:
+        """Check readiness as the platform does, until the answer is 200.
+
+        :raises AssertionError: if the process has ended.
+        :raises TimeoutError: if it does not answer.
+        """
+        async with asyncio.timeout(_HANG_S):
+            while not await self.is_ready():
+                assert self.running, self.log_tail()
+                await asyncio.sleep(0.1)
+
     async def is_served(self, data: bytes) -> bool:
         """Return whether a request on a new connection gets 200."""
         return (await self.answer_to(data)).startswith(b"HTTP/1.1 200 ")
