Wait for the clients of closed connections for a short time only

Clients that sent requests, closed their sending side and read nothing took one descriptor after the other, with up to 256 KB each, until a process had none left and no caller was served.

Cause: a connection was closed while it had unsent data. asyncio then waits for the client without a limit, and the connection counted as gone: its descriptor and memory were in no bound.

A connection now counts as open until its socket is closed, and is aborted after two seconds. When the process ends, it is aborted at once.

callers-unread-finished fails without this change, passes with it; ready-unread-finished passes since connections at that address are bounded.

--- a/src/lugcross/http1/server.py
+++ b/src/lugcross/http1/server.py
@@ -28,6 +28,9 @@
 _ERROR_DISCARD_TIME = datetime.timedelta(milliseconds=200)
 #: Response parts up to this size are joined, so that they fit in one packet.
 _MAX_JOINED_BYTES = 65_536
+#: Time for which a closed connection may wait for its client to take what is
+#: unsent.
+_MAX_CLOSE_TIME = datetime.timedelta(seconds=2)
 
 
 class CloseReason(enum.Enum):
@@ -110,10 +113,25 @@
         except (caller_request.CallerDisconnectedError, OSError):
             # The handler was cancelled when the caller disconnected.
             self._abort()
+        except asyncio.CancelledError:
+            # The process ends; nobody is waited for.
+            self._abort()
+            raise
         finally:
             if self.memory is not None:
                 self.memory.close()
-            self._writer.close()
+            await self._close()
+
+    async def _close(self) -> None:
+        """Close the connection; wait for its client only for a short time."""
+        self._writer.close()
+        try:
+            async with asyncio.timeout(_MAX_CLOSE_TIME.total_seconds()):
+                await self._writer.wait_closed()
+        except TimeoutError:
+            self.abort(CloseReason.NOT_READING)
+        except OSError as exc:
+            logging.debug("connection lost while closing: %s", exc)
 
     def abort(self, reason: CloseReason) -> None:
         """Close the connection at once and discard what is unsent."""
--- a/testing/crowds/test_crowds.py
+++ b/testing/crowds/test_crowds.py
@@ -32,6 +32,7 @@
         "callers-trailer",
         "callers-trickled-body",
         "callers-unread",
+        "callers-unread-finished",
         "metrics-garbage",
         "metrics-idle",
         "metrics-unread",
@@ -39,6 +40,7 @@
         "ready-idle",
         "ready-unread",
         "ready-unread-in-turn",
+        "ready-unread-finished",
         "state-garbage",
     ],
 )
