Leave descriptors for backend servers beside callers' connections

With callers' requests waiting for backend servers a process had no descriptor left: not for another server, the store or a peer.

Cause: callers could have half of the descriptors, and each of their requests needs one more to a backend server. They now have three eighths (1,537 of 4,100), which leaves a quarter for all else.

--- a/src/lugcross/connection_limits/gate.py
+++ b/src/lugcross/connection_limits/gate.py
@@ -28,9 +28,10 @@
 #: Delay of the event loop above which the number is halved: well below the
 #: time in which callers expect the first byte.
 MAX_LAG = datetime.timedelta(milliseconds=50)
-#: File descriptors that are left to connections to backend servers, peers and
-#: the store, and to logs.
-_RESERVED_DESCRIPTOR_FRACTION = 0.5
+#: Fraction of the file descriptors for callers' connections. Each may need
+#: another one to a backend server; the rest is for peers, the store, the other
+#: listening addresses and files.
+_CALLER_DESCRIPTOR_FRACTION = 0.375
 #: The same for connections to an address that no caller uses, such as that of
 #: readiness checks: a small part of all, and enough for a few clients.
 _OWN_DESCRIPTOR_FRACTION = 1 / 32
@@ -56,7 +57,7 @@
     """
     if descriptor_limit == resource.RLIM_INFINITY:
         return math.inf
-    return int(descriptor_limit * (1 - _RESERVED_DESCRIPTOR_FRACTION))
+    return int(descriptor_limit * _CALLER_DESCRIPTOR_FRACTION)
 
 
 def default_max_own_connections(descriptor_limit: int) -> float:
--- a/testing/crowds/test_crowds.py
+++ b/testing/crowds/test_crowds.py
@@ -26,6 +26,8 @@
         "callers-bodies",
         "callers-garbage",
         "callers-half-head",
+        "callers-held",
+        "callers-held-in-waves",
         "callers-idle",
         "callers-large-unread",
         "callers-reset",
--- a/testing/support/crowd_cases.py
+++ b/testing/support/crowd_cases.py
@@ -221,6 +221,12 @@
     "callers-held": Crowd(
         port=Port.CALLERS, clients=600, opening=request(HELD_PATH)
     ),
+    "callers-held-in-waves": Crowd(
+        port=Port.CALLERS,
+        clients=200,
+        waves=3,
+        opening=request(HELD_PATH),
+    ),
     "callers-reset": Crowd(
         port=Port.CALLERS,
         clients=200,
