Bound the connections of the address for peers' state requests

Clients that opened connections to the state address took all descriptors of a process; ones that sent state requests without reading the responses made it use 421 MB, and neither callers nor readiness checks were answered for 23 s.

Cause: the number of connections was not bounded, a connection served any number of requests and waited for its client without a limit. A peer sends one request a connection and waits a second for the response.

A connection now serves one request within that second, and a 32nd of the descriptors bounds their number, 128 at most; near it the oldest goes. asyncio accepts 16 at once instead of all that wait, as it counts none.

Crowds on: state-idle 503 descriptors, state-open 512 and the ordinary request after 48 s, state-unread 421 MB of 96.

--- a/src/lugcross/connection_limits/__init__.py
+++ b/src/lugcross/connection_limits/__init__.py
@@ -1,6 +1,7 @@
 # SPDX-License-Identifier: Apache-2.0
 """Limits on the new connections that a process takes from callers."""
 
+from lugcross.connection_limits.closed_connections import ClosedConnections
 from lugcross.connection_limits.gate import ConnectionGate
 from lugcross.connection_limits.gate import default_max_connections
 from lugcross.connection_limits.gate import default_max_own_connections
@@ -10,6 +11,7 @@
 from lugcross.connection_limits.open_connections import OpenConnections
 
 __all__ = [
+    "ClosedConnections",
     "ConnState",
     "ConnectionGate",
     "LoopLag",
--- a/src/lugcross/edge/app.py
+++ b/src/lugcross/edge/app.py
@@ -284,6 +284,7 @@
             await asyncio.sleep(_SWEEP_INTERVAL_S)
             self.edge_state.drop_outdated()
             self._listeners.log_closed()
+            self.state_sync.log_closed()
             self.reload_if_changed()
 
     async def _drain(self) -> None:
--- a/src/lugcross/edge/state_sync.py
+++ b/src/lugcross/edge/state_sync.py
@@ -6,12 +6,14 @@
 import datetime
 import functools
 import random
+import resource
 from typing import final
 
 from absl import logging
 
 from lugcross import address
 from lugcross import clock as clock_lib
+from lugcross import connection_limits
 from lugcross import desired
 from lugcross.edge import edge_state as edge_state_lib
 from lugcross.edge import evacuation_reports
@@ -162,7 +164,18 @@
             clock=clock,
             rng=rng,
         )
-        self._state_server = state_transfer.StateServer(self.peer_sync.respond)
+        descriptor_limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+        self._state_server = state_transfer.StateServer(
+            self.peer_sync.respond,
+            closed=connection_limits.ClosedConnections(
+                "state",
+                functools.partial(edge_state.metrics.count_closed, "state"),
+            ),
+            max_connections=connection_limits.default_max_own_connections(
+                descriptor_limit
+            ),
+            clock=clock,
+        )
 
     async def start(self) -> None:
         """Start to listen for heartbeats and state requests of peers."""
@@ -191,6 +204,10 @@
             tasks.create_task(self.peer_sync.run())
             tasks.create_task(self._suspect_store.run())
 
+    def log_closed(self) -> None:
+        """Log how many connections were closed for what their clients do."""
+        self._state_server.log_closed()
+
     def leave(self) -> None:
         """Tell the peers that this process is shutting down."""
         self._leaving = True
--- a/src/lugcross/edge/state_transfer.py
+++ b/src/lugcross/edge/state_transfer.py
@@ -3,6 +3,8 @@
 
 import asyncio
 from collections.abc import Callable
+from typing import Any
+from typing import cast
 from typing import final
 
 from absl import logging
@@ -12,7 +14,11 @@
 from websockets.asyncio import server as ws_server
 from websockets import exceptions as ws_exceptions
 
+from lugcross import clock as clock_lib
+from lugcross import connection_limits
 from lugcross.edge import messages
+from lugcross.edge import state_connection
+from lugcross import http1
 
 #: Longest wait for a peer's response, connecting included.
 REQUEST_TIMEOUT_S = 1.0
@@ -26,36 +32,70 @@
 class StateServer:
     """Serves the state requests of peers.
 
+    A peer sends one request on a connection and waits for the response for
+    :data:`REQUEST_TIMEOUT_S`, so no connection is served for longer.
+
     :param respond: returns the response to a request.
+    :param closed: connections closed for what their clients do.
+    :param max_connections: bound on open connections.
     """
 
     def __init__(
         self,
         respond: Callable[[messages.StateRequest], messages.StateResponse],
+        *,
+        closed: connection_limits.ClosedConnections,
+        max_connections: float,
+        clock: clock_lib.Clock,
     ) -> None:
         self._respond = respond
+        self._closed = closed
+        self._clock = clock
+        self._connections: connection_limits.OpenConnections[
+            state_connection.StateConnection
+        ] = connection_limits.OpenConnections(max_connections)
         self._server: ws_server.Server | None = None
 
     async def start(self, host: str, port: int) -> None:
         """Start to listen."""
+        sock = state_connection.listen(host, port)
         self._server = await ws_server.serve(
             self._serve,
-            host,
-            port,
+            sock=sock,
+            backlog=state_connection.MAX_ACCEPTED_AT_ONCE,
             max_size=_MAX_REQUEST_BYTES,
             compression=None,
+            open_timeout=REQUEST_TIMEOUT_S,
+            close_timeout=REQUEST_TIMEOUT_S,
+            # It only has to be callable like the class.
+            create_connection=cast(Any, self._create_connection),
         )
+        state_connection.allow_pending(sock)
 
     def close(self) -> None:
         """Stop listening."""
         if self._server is not None:
             self._server.close()
 
+    def log_closed(self) -> None:
+        """Log how many connections were closed for what their clients do."""
+        self._closed.log()
+
+    def _create_connection(
+        self, *args: Any, **kwargs: Any
+    ) -> state_connection.StateConnection:
+        return state_connection.StateConnection(
+            self._connections, self._closed.note, self._clock, *args, **kwargs
+        )
+
     async def _serve(self, conn: ws_server.ServerConnection) -> None:
+        assert isinstance(conn, state_connection.StateConnection)
         try:
-            async for frame in conn:
-                response = self._respond(messages.decode_state_request(frame))
-                await conn.send(messages.encode(response))
+            async with asyncio.timeout(REQUEST_TIMEOUT_S):
+                req = messages.decode_state_request(await conn.recv())
+                await conn.send(messages.encode(self._respond(req)))
+        except TimeoutError:
+            conn.abort(http1.CloseReason.TIMED_OUT)
         except (
             cbor2.CBORDecodeError,
             msgspec.ValidationError,
--- a/src/lugcross/http1/connection_server.py
+++ b/src/lugcross/http1/connection_server.py
@@ -2,13 +2,10 @@
 """Serves the connections of one listening address, up to a bound."""
 
 import asyncio
-import collections
 from collections.abc import Callable
 import enum
 from typing import final
 
-from absl import logging
-
 from lugcross import clock as clock_lib
 from lugcross import connection_limits
 from lugcross import desired
@@ -46,20 +43,17 @@
         count_closed: Callable[[enum.Enum], None],
         gate: connection_limits.ConnectionGate | None = None,
     ) -> None:
-        self._name = name
         self._handler = handler
         self._limits = limits
         self._draining = draining
         self._clock = clock
         self._held = held
         self._gate = gate
-        self._count_closed = count_closed
+        self._closed = connection_limits.ClosedConnections(name, count_closed)
         self._conns: set[server.ServerConn] = set()
         self._open: connection_limits.OpenConnections[server.ServerConn] = (
             connection_limits.OpenConnections(max_connections)
         )
-        #: Connections closed since the last line of the log, by reason.
-        self._closed_counts: collections.Counter[str] = collections.Counter()
         self._listener = listener.Listener(
             self._serve,
             admit=self._admit,
@@ -95,15 +89,7 @@
 
     def log_closed(self) -> None:
         """Write one line about the connections closed since the last one."""
-        if self._closed_counts:
-            logging.warning(
-                "connections closed",
-                extra={
-                    "listener": self._name,
-                    "counts": {**self._closed_counts},
-                },
-            )
-            self._closed_counts.clear()
+        self._closed.log()
 
     def _admit(self) -> bool:
         """Return whether to serve a new connection; count it if not."""
@@ -116,7 +102,7 @@
         if refusal is None:
             self._open.reserve()
             return True
-        self._note_closed(refusal)
+        self._closed.note(refusal)
         return False
 
     def _make_room(self) -> None:
@@ -129,10 +115,6 @@
         if ahead is not None:
             ahead.close_after_response(server.CloseReason.MADE_ROOM)
 
-    def _note_closed(self, reason: enum.Enum) -> None:
-        self._closed_counts[reason.value] += 1
-        self._count_closed(reason)
-
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -145,7 +127,7 @@
             clock=self._clock,
             held=self._held,
             on_state=self._update_state,
-            on_closed=self._note_closed,
+            on_closed=self._closed.note,
         )
         self._conns.add(conn)
         self._open.add(conn)
--- a/src/lugcross/http1/server.py
+++ b/src/lugcross/http1/server.py
@@ -38,10 +38,13 @@
 
     ``MADE_ROOM``: for a new connection, as it was of no use.
     ``NOT_READING``: its client does not take the response.
+    ``TIMED_OUT``: its client has not sent a request, or not taken the
+    response, in the time for both.
     """
 
     MADE_ROOM = "made-room"
     NOT_READING = "not-reading"
+    TIMED_OUT = "timed-out"
 
 
 Handler = Callable[
--- a/testing/crowds/test_crowds.py
+++ b/testing/crowds/test_crowds.py
@@ -44,6 +44,9 @@
         "ready-unread-in-turn",
         "ready-unread-finished",
         "state-garbage",
+        "state-idle",
+        "state-open",
+        "state-unread",
     ],
 )
 def test_crowd_leaves_the_process_within_its_bounds(name, tmp_path):
