Parse input that takes long in turns, and hold chunked bodies as one

Callers that sent bodies in chunks of two bytes made a process use 388 MB, and for 42 s it answered neither requests nor readiness checks.

Causes: each chunk became an object of its own, of some 60 bytes for two; and each connection parsed all that it had received, up to 64 KB and 10,000 chunks, before anything else was served, in every round of the event loop. Ruled out: many rounds for one request; with one slice a round an ordinary request takes 0.02 to 0.04 s beside the same crowd.

A body is one buffer now. Beyond the first 4 KB of a request, heads and chunked bodies are parsed in slices of 4 KB, one slice of one connection in a round of the event loop (ParsingTurns). Bodies with a length do not need turns.

--- a/src/lugcross/edge/listeners.py
+++ b/src/lugcross/edge/listeners.py
@@ -58,6 +58,7 @@
         max_callers = connection_limits.default_max_connections(
             descriptor_limit
         )
+        turns = http1.ParsingTurns()
         self._gate = connection_limits.ConnectionGate(max_callers)
         self.callers = http1.ConnectionServer(
             "callers",
@@ -66,6 +67,7 @@
             draining=is_stopping,
             clock=clock,
             held=edge_state.held_bytes,
+            turns=turns,
             max_connections=max_callers,
             count_closed=functools.partial(
                 edge_state.metrics.count_closed, "callers"
@@ -84,6 +86,7 @@
                 draining=is_stopping,
                 clock=clock,
                 held=held_bytes.HeldBytes(_OWN_HELD_BYTES),
+                turns=turns,
                 max_connections=connection_limits.default_max_own_connections(
                     descriptor_limit
                 ),
--- a/src/lugcross/http1/__init__.py
+++ b/src/lugcross/http1/__init__.py
@@ -13,6 +13,7 @@
 from lugcross.http1.client import ResponseMemory
 from lugcross.http1.connection_server import ConnectionServer
 from lugcross.http1.listener import Listener
+from lugcross.http1.parsing_turns import ParsingTurns
 from lugcross.http1.response_writer import ResponseWriter
 from lugcross.http1.server import CloseReason
 from lugcross.http1.server import Handler
@@ -29,6 +30,7 @@
     "Handler",
     "Listener",
     "NoConnectionError",
+    "ParsingTurns",
     "Request",
     "ResponseHead",
     "ResponseMemory",
--- a/src/lugcross/http1/caller_request.py
+++ b/src/lugcross/http1/caller_request.py
@@ -53,6 +53,11 @@
     )
 
 
+def has_length(headers: list[tuple[bytes, bytes]]) -> bool:
+    """Return whether a request states the length of its body."""
+    return any(name == b"content-length" for name, _ in headers)
+
+
 def has_body(headers: list[tuple[bytes, bytes]]) -> bool:
     """Return whether a request has a body that is not empty."""
     return is_framed(headers) and (b"content-length", b"0") not in headers
--- a/src/lugcross/http1/connection_server.py
+++ b/src/lugcross/http1/connection_server.py
@@ -12,6 +12,7 @@
 from lugcross import held_bytes
 from lugcross.http1 import caller_memory
 from lugcross.http1 import listener
+from lugcross.http1 import parsing_turns
 from lugcross.http1 import server
 
 #: Connections that may wait to be accepted; enough for all clients that
@@ -24,6 +25,8 @@
     """The connections of one listening address.
 
     :param name: name of the address, for the log.
+    :param turns: turns for input that takes long to parse, shared by all
+        addresses of the process.
     :param gate: admits new connections; None to admit all up to the bound.
     :param max_connections: bound on open connections.
     :param count_closed: called with the reason for each connection that is
@@ -39,6 +42,7 @@
         draining: Callable[[], bool],
         clock: clock_lib.Clock,
         held: held_bytes.HeldBytes,
+        turns: parsing_turns.ParsingTurns,
         max_connections: float,
         count_closed: Callable[[enum.Enum], None],
         gate: connection_limits.ConnectionGate | None = None,
@@ -48,6 +52,7 @@
         self._draining = draining
         self._clock = clock
         self._held = held
+        self._turns = turns
         self._gate = gate
         self._closed = connection_limits.ClosedConnections(name, count_closed)
         self._conns: set[server.ServerConn] = set()
@@ -126,6 +131,7 @@
             draining=self._draining,
             clock=self._clock,
             held=self._held,
+            turns=self._turns,
             on_state=self._update_state,
             on_closed=self._closed.note,
         )
--- a/src/lugcross/http1/request_reader.py
+++ b/src/lugcross/http1/request_reader.py
@@ -15,10 +15,13 @@
 from lugcross import desired
 from lugcross.http1 import caller_memory
 from lugcross.http1 import caller_request
+from lugcross.http1 import parsing_turns
 from lugcross.http1 import received_data
 
-#: Data that is parsed at once.
-_PARSED_BYTES = 65_536
+#: Data of a head or a chunked body that is parsed at once.
+_PARSED_BYTES = 4_096
+#: Data of a body with a length that is parsed at once.
+_PLAIN_BODY_BYTES = 65_536
 
 
 @final
@@ -28,6 +31,8 @@
     :param conn: parser of the connection; not used for reading by others.
     :param write: writes to the caller.
     :param memory: what is held for this caller; None if that is not bounded.
+    :param turns: turns for input beyond the first :data:`_PARSED_BYTES` of a
+        request, but for bodies with a length.
     :ivar method: method of the last request.
     :ivar was_sent_ahead: whether it began to arrive before the response to the
         request before it was delivered.
@@ -44,7 +49,14 @@
         write: Callable[[bytes], Awaitable[None]],
         clock: clock_lib.Clock,
         memory: caller_memory.CallerMemory | None,
+        turns: parsing_turns.ParsingTurns,
     ) -> None:
+        self._turns = turns
+        self._has_turn = False
+        #: Whether what comes next is parsed in turns.
+        self._needs_turn = False
+        #: Whether the present request has a body with a length.
+        self._is_plain_body = False
         self._received = received_data.ReceivedData(reader, writer)
         self._h11 = conn
         self._write = write
@@ -67,6 +79,16 @@
             within its body.
         """
         self._body_bytes = 0
+        self._needs_turn = False
+        self._is_plain_body = False
+        try:
+            return await self._read_request(limits)
+        finally:
+            self._end_turn()
+
+    async def _read_request(
+        self, limits: desired.RequestLimits
+    ) -> caller_request.Request | None:
         head = await self._read_head(limits)
         if head is None:
             return None
@@ -74,6 +96,7 @@
         received_at = self._clock.monotonic()
         headers = list(head.headers)
         caller_request.check_framing(headers, limits)
+        self._is_plain_body = caller_request.has_length(headers)
         self.body_refused = (
             caller_request.has_body(headers)
             and self._memory is not None
@@ -153,36 +176,39 @@
         return None
 
     async def _read_body(self, limits: desired.RequestLimits) -> bytes:
-        parts: list[bytes] = []
-        size = 0
+        # Chunks of a few bytes would take many times their size as objects.
+        body = bytearray()
         while True:
             event = self._next_event()
             if event is h11.NEED_DATA:
+                self._body_bytes = len(body)
+                self._count_held()
                 if not await self._may_read_body():
                     return b""
-                if await self._receive(limits.idle_timeout):
-                    continue
-                if self._received.ended:
-                    raise caller_request.disconnected_error(
-                        "within its request"
-                    )
-                raise caller_request.BadRequestError(
-                    http.HTTPStatus.REQUEST_TIMEOUT,
-                    "the request body stalled for too long",
-                )
-            if isinstance(event, h11.Data):
-                size += len(event.data)
-                if size > limits.max_body_bytes:
-                    raise caller_request.too_large_error(limits)
-                parts.append(bytes(event.data))
-                if self._memory is not None:
-                    self._memory.set_body(size)
+                await self._receive_body(limits)
                 continue
-            return b"".join(parts)
+            if not isinstance(event, h11.Data):
+                return bytes(body)
+            body += event.data
+            if len(body) > limits.max_body_bytes:
+                raise caller_request.too_large_error(limits)
+
+    async def _receive_body(self, limits: desired.RequestLimits) -> None:
+        if await self._receive(limits.idle_timeout):
+            return
+        if self._received.ended:
+            raise caller_request.disconnected_error("within its request")
+        raise caller_request.BadRequestError(
+            http.HTTPStatus.REQUEST_TIMEOUT,
+            "the request body stalled for too long",
+        )
 
     async def _may_read_body(self) -> bool:
         """Wait for memory; note if the request is refused for lack of it."""
-        if self._memory is None or await self._memory.wait_to_read_body():
+        if self._memory is None or self._memory.may_read_body():
+            return True
+        self._end_turn()
+        if await self._memory.wait_to_read_body():
             return True
         self.body_refused = True
         return False
@@ -197,11 +223,24 @@
 
     async def _receive(self, wait: datetime.timedelta) -> bool:
         """Parse more data; return whether any arrived within ``wait``."""
+        self._end_turn()
         try:
             async with asyncio.timeout(wait.total_seconds()):
                 if not await self._received.wait():
                     return False
         except TimeoutError:
             return False
+        if self._is_plain_body:
+            self._h11.receive_data(self._received.take(_PLAIN_BODY_BYTES))
+            return True
+        if self._needs_turn:
+            await self._turns.begin()
+            self._has_turn = True
+        self._needs_turn = True
         self._h11.receive_data(self._received.take(_PARSED_BYTES))
         return True
+
+    def _end_turn(self) -> None:
+        if self._has_turn:
+            self._has_turn = False
+            self._turns.end()
--- a/src/lugcross/http1/server.py
+++ b/src/lugcross/http1/server.py
@@ -18,6 +18,7 @@
 from lugcross import held_bytes
 from lugcross.http1 import caller_memory
 from lugcross.http1 import caller_request
+from lugcross.http1 import parsing_turns
 from lugcross.http1 import request_reader
 from lugcross.http1 import response_writer
 
@@ -62,6 +63,8 @@
         current response.
     :param held: counts and bounds what is held for this caller; None, or one
         without a limit, to let each write wait for the caller instead.
+    :param turns: turns for input that takes long to parse, shared with other
+        connections of the process.
     :param on_state: called with each new state of this connection; it begins
         by waiting for a request.
     :param on_closed: called if it is closed for what its client does.
@@ -77,6 +80,7 @@
         draining: Callable[[], bool],
         clock: clock_lib.Clock,
         held: held_bytes.HeldBytes | None = None,
+        turns: parsing_turns.ParsingTurns | None = None,
         on_state: Callable[
             ["ServerConn", connection_limits.ConnState], None
         ] = lambda conn, state: None,
@@ -106,6 +110,7 @@
             write=self._write,
             clock=clock,
             memory=self.memory,
+            turns=turns or parsing_turns.ParsingTurns(),
         )
 
     async def run(self) -> None:
--- a/testing/crowds/test_crowds.py
+++ b/testing/crowds/test_crowds.py
@@ -31,6 +31,7 @@
         "callers-idle",
         "callers-large-unread",
         "callers-reset",
+        "callers-small-chunks",
         "callers-trailer",
         "callers-trickled-body",
         "callers-unread",
