Count the heads of requests as held bytes

Callers with 3,200 header fields in a head of 16 KB, all inside the limits, made a process of 96 MB use 199 MB, whether they waited for a server or never sent the body that they had announced.

Cause: a header field of five bytes takes about 240 bytes as objects (measured: 154 MB for 200 such heads), and heads were in no bound; a process could have 2,050 of them.

The memory of a head, its fields included, is now counted with the body, and so is what has come of a head that is not complete. Where new bodies are refused for lack of memory, requests with a head of 32 KB or more in memory are, too: 503 with Retry-After, before they run. The head of a refused request is let go before its caller is waited for.

--- a/src/lugcross/edge/request_handler.py
+++ b/src/lugcross/edge/request_handler.py
@@ -79,7 +79,7 @@
     ) -> checked_request.CheckedRequest:
         if self._is_stopping():
             raise request_errors.not_ready("this process is being stopped")
-        if req.body_refused:
+        if req.refused:
             raise request_errors.no_memory(self._rng)
         state = self._edge_state.desired
         if state is None:
--- a/src/lugcross/held_bytes/ledger.py
+++ b/src/lugcross/held_bytes/ledger.py
@@ -45,8 +45,8 @@
 class Kind(enum.Enum):
     """What bytes are held for.
 
-    ``REQUEST``: a body that is read, until its request ends; a server that
-    has not yet taken it is sent the same bytes.
+    ``REQUEST``: a head and a body that are read, until their request ends; a
+    server that has not yet taken the body is sent the same bytes.
     ``RESPONSE``: a response that is read in whole before it is delivered.
     ``UNSENT``: parts of responses that the caller has not yet taken.
     """
@@ -61,7 +61,7 @@
 
     ``STOP_BODIES``: no further body is read from callers that are sending, and
     nothing that they send ahead.
-    ``REFUSE_BODIES``: new requests with a body are refused.
+    ``REFUSE_BODIES``: new requests with a body or a large head are refused.
     ``SLOW_RESPONSES``: servers are read from only as fast as callers read.
     """
 
--- a/src/lugcross/http1/caller_memory.py
+++ b/src/lugcross/http1/caller_memory.py
@@ -93,7 +93,7 @@
         self._writer = writer
         limit_read_size(writer, _CALLER_READ_BYTES)
         self.outbox = outbox_lib.Outbox(writer, self._set_unsent)
-        self._body_bytes = 0
+        self._request_bytes = 0
 
     def admits_body(self) -> bool:
         """Return whether a new request may bring a body."""
@@ -103,9 +103,9 @@
         """Return whether data beyond the present request may be read."""
         return self._holding.may_read_ahead()
 
-    def set_body(self, size: int) -> None:
-        """Set how much of the request's body is held."""
-        self._body_bytes = size
+    def set_request(self, size: int) -> None:
+        """Set how much is held of the request and of what follows it."""
+        self._request_bytes = size
         self._holding.set(held_bytes.Kind.REQUEST, size)
 
     def end_request(self, next_requests_size: int) -> None:
@@ -113,7 +113,7 @@
 
         :param next_requests_size: what was already received after it.
         """
-        self.set_body(next_requests_size)
+        self.set_request(next_requests_size)
         self._holding.end_request()
 
     def may_read_body(self) -> bool:
@@ -126,7 +126,7 @@
             return True
         self._holding.set(
             held_bytes.Kind.REQUEST,
-            self._body_bytes + unread_bytes(self._reader),
+            self._request_bytes + unread_bytes(self._reader),
         )
         with paused(self._reader, self._writer):
             try:
--- a/src/lugcross/http1/caller_request.py
+++ b/src/lugcross/http1/caller_request.py
@@ -9,6 +9,12 @@
 from lugcross import desired
 from lugcross import errors
 
+#: Memory of one header field beside its text: some objects and references.
+_FIELD_BYTES = 256
+#: Memory of a head above which it needs the same room as a body: far more than
+#: that of usual heads.
+LARGE_HEAD_BYTES = 32_768
+
 
 class CallerDisconnectedError(errors.LugcrossError):
     """The caller closed its connection."""
@@ -24,8 +30,8 @@
     :param body: None if the request had neither Content-Length nor
         Transfer-Encoding.
     :param received_at: when the head was complete.
-    :param body_refused: whether there is no memory for the body. It was not
-        read in whole, and the request must be refused.
+    :param refused: whether there is no memory for the request. Its body was
+        not read in whole, and it must be refused.
     """
 
     method: bytes
@@ -34,7 +40,7 @@
     raw_headers: list[tuple[bytes, bytes]]
     body: bytes | None
     received_at: clock_lib.Instant
-    body_refused: bool = False
+    refused: bool = False
 
 
 class BadRequestError(errors.LugcrossError):
@@ -53,6 +59,13 @@
     )
 
 
+def head_bytes(headers: list[tuple[bytes, bytes]]) -> int:
+    """Return how much memory the header fields of a request take."""
+    # Name and value are held as received and in lower case.
+    text = sum(2 * len(name) + len(value) for name, value in headers)
+    return text + _FIELD_BYTES * len(headers)
+
+
 def has_length(headers: list[tuple[bytes, bytes]]) -> bool:
     """Return whether a request states the length of its body."""
     return any(name == b"content-length" for name, _ in headers)
--- a/src/lugcross/http1/request_reader.py
+++ b/src/lugcross/http1/request_reader.py
@@ -62,12 +62,14 @@
         self._write = write
         self._clock = clock
         self._memory = memory
-        #: Size of the body of the present request.
+        #: Memory of the head of the present request.
+        self._head_bytes = 0
+        #: Size of its body.
         self._body_bytes = 0
         self.method = b""
         self.busy = False
         self.was_sent_ahead = False
-        self.body_refused = False
+        self.refused = False
 
     async def read_request(
         self, limits: desired.RequestLimits
@@ -78,6 +80,7 @@
         :raises caller_request.CallerDisconnectedError: if the connection ends
             within its body.
         """
+        self._head_bytes = 0
         self._body_bytes = 0
         self._needs_turn = False
         self._is_plain_body = False
@@ -97,13 +100,18 @@
         headers = list(head.headers)
         caller_request.check_framing(headers, limits)
         self._is_plain_body = caller_request.has_length(headers)
-        self.body_refused = (
-            caller_request.has_body(headers)
-            and self._memory is not None
+        self._head_bytes = caller_request.head_bytes(headers)
+        self.refused = (
+            self._memory is not None
             and not self._memory.admits_body()
+            and (
+                caller_request.has_body(headers)
+                or self._head_bytes > caller_request.LARGE_HEAD_BYTES
+            )
         )
+        self._count_held()
         body = b""
-        if not self.body_refused:
+        if not self.refused:
             body = await self._read_whole_body(limits)
         return caller_request.Request(
             method=head.method,
@@ -112,12 +120,12 @@
             raw_headers=list(head.headers.raw_items()),
             body=body if caller_request.is_framed(headers) else None,
             received_at=received_at,
-            body_refused=self.body_refused,
+            refused=self.refused,
         )
 
     async def wait_for_disconnect(self) -> None:
         """Return when the caller disconnects while it is served."""
-        if self.body_refused:
+        if self.refused:
             # Reads no more while the refusal is written.
             await asyncio.get_running_loop().create_future()
         while await self._received.read_ahead(
@@ -137,7 +145,9 @@
 
     def _count_held(self) -> None:
         if self._memory is not None:
-            self._memory.set_body(self._body_bytes + self._unparsed_bytes())
+            self._memory.set_request(
+                self._head_bytes + self._body_bytes + self._unparsed_bytes()
+            )
 
     def _unparsed_bytes(self) -> int:
         return self._received.size + len(self._h11.trailing_data[0])
@@ -170,6 +180,7 @@
                     http.HTTPStatus.REQUEST_TIMEOUT,
                     "the request head did not arrive in time",
                 )
+            self._count_held()
             event = self._next_event()
         if isinstance(event, h11.Request):
             return event
@@ -210,7 +221,7 @@
         self._end_turn()
         if await self._memory.wait_to_read_body():
             return True
-        self.body_refused = True
+        self.refused = True
         return False
 
     def _next_event(self) -> Any:
--- a/src/lugcross/http1/server.py
+++ b/src/lugcross/http1/server.py
@@ -173,7 +173,7 @@
         if (
             self._draining()
             or self._is_last_response
-            or self._requests.body_refused
+            or self._requests.refused
         ):
             headers.append((b"Connection", b"close"))
         parts = [
@@ -247,12 +247,15 @@
             if self._requests.was_sent_ahead
             else connection_limits.ConnState.SERVING,
         )
+        refused = req.refused
         await self._run_handler(response, req)
+        # A large head is not held for a caller that does not read.
+        del req
         if not response.finished or not await self._flush_rest():
             # Aborting shows the caller that the response is incomplete.
             self._abort()
             return False
-        if req.body_refused:
+        if refused:
             await caller_memory.discard_rest(self._reader, self._writer)
             return False
         self._requests.end_request()
--- a/testing/crowds/test_crowds.py
+++ b/testing/crowds/test_crowds.py
@@ -30,6 +30,8 @@
         "callers-held-in-waves",
         "callers-idle",
         "callers-large-unread",
+        "callers-many-fields",
+        "callers-many-fields-held",
         "callers-reset",
         "callers-small-chunks",
         "callers-trailer",
