Bound what is held of a server's failures

A failure is now read as successes are. While it is kept for a retry it counts as held; at the bound it is passed on as it arrives, which ends the request, as there is no memory to keep it. Unwanted bodies are skipped.

--- a/src/lugcross/edge/attempt.py
+++ b/src/lugcross/edge/attempt.py
@@ -208,7 +208,7 @@
         self._keep_alive = parsed_head.keep_alive
         self._edge_state.apply_response_head(self._backend, parsed_head)
         if parsed_head.not_executed:
-            await conn.read_body()
+            await conn.skip_body()
             return self._handle_not_executed(parsed_head)
         self._check_head(parsed_head)
         self._edge_state.refusing.record_accepted(
@@ -276,7 +276,7 @@
             )
             # Its headers still describe the state of this server.
             self._edge_state.apply_response_head(self._backend, parsed_head)
-            await conn.read_body()
+            await conn.skip_body()
             conn.expect_another_response(self._checked.req.method)
 
     def _handle_not_executed(
@@ -308,20 +308,21 @@
         parsed_head: platform.BackendResponseHead,
     ) -> retry_policy.AttemptOutcome | None:
         failed = parsed_head.status >= http.HTTPStatus.INTERNAL_SERVER_ERROR
-        if failed or parsed_head.status in platform.NOT_EXECUTED_STATUSES:
-            body = await conn.read_body()
+        if parsed_head.status in platform.NOT_EXECUTED_STATUSES:
+            # The status means "not executed", but the header that proves it
+            # is missing.
+            await conn.skip_body()
             self._report_failure(f"status {parsed_head.status}")
-            if parsed_head.status in platform.NOT_EXECUTED_STATUSES:
-                # The status means "not executed", but the header that
-                # proves it is missing.
-                return retry_policy.AttemptOutcome.BROKEN
-            self._caller_response.hold_failure(http_head, body)
-            return retry_policy.AttemptOutcome.FAILED
+            return retry_policy.AttemptOutcome.BROKEN
         if self._caller_response.started:
             raise _InvalidResponseError(
                 "the answer to a resumed stream is no event stream"
             )
         parts, complete = await conn.read_body_to_hold()
+        if failed and complete:
+            self._report_failure(f"status {parsed_head.status}")
+            self._caller_response.hold_failure(http_head, b"".join(parts))
+            return retry_policy.AttemptOutcome.FAILED
         size = sum(map(len, parts))
         if complete and (
             size <= _MAX_JOINED_BYTES or self._caller_response.memory is None
@@ -342,7 +343,10 @@
         if not complete:
             while (data := await conn.read_data()) is not None:
                 await self._caller_response.write_part(http_head, data)
-        self._report_success()
+        if failed:
+            self._report_failure(f"status {parsed_head.status}")
+        else:
+            self._report_success()
         await self._caller_response.finish(http_head)
         return None
 
--- a/src/lugcross/edge/caller_response.py
+++ b/src/lugcross/edge/caller_response.py
@@ -94,11 +94,20 @@
     def hold_failure(self, head: http1.ResponseHead, body: bytes) -> None:
         """Keep an error response, written if no other attempt succeeds."""
         self._held_failure = (head, body)
+        self._note_held_failure(len(body))
 
     async def write_held_failure(self) -> None:
         """Write the error response that was kept last."""
         assert self._held_failure is not None
-        await self.write_complete(*self._held_failure)
+        head, body = self._held_failure
+        self._held_failure = None
+        # It counts as unsent once it is written.
+        self._note_held_failure(0)
+        await self.write_complete(head, body)
+
+    def _note_held_failure(self, size: int) -> None:
+        if self._writer.memory is not None:
+            self._writer.memory.set_failure(size)
 
     async def write_events(
         self, head: http1.ResponseHead, events: list[bytes]
--- a/src/lugcross/held_bytes/ledger.py
+++ b/src/lugcross/held_bytes/ledger.py
@@ -48,11 +48,13 @@
     ``REQUEST``: a head and a body that are read, until their request ends; a
     server that has not yet taken the body is sent the same bytes.
     ``RESPONSE``: a response that is read in whole before it is delivered.
+    ``FAILURE``: a failure of a server, while another one is tried.
     ``UNSENT``: parts of responses that the caller has not yet taken.
     """
 
     REQUEST = "request"
     RESPONSE = "response"
+    FAILURE = "failure"
     UNSENT = "unsent"
 
 
--- a/src/lugcross/http1/caller_memory.py
+++ b/src/lugcross/http1/caller_memory.py
@@ -114,6 +114,7 @@
         :param next_requests_size: what was already received after it.
         """
         self.set_request(next_requests_size)
+        self.set_failure(0)
         self._holding.end_request()
 
     def may_read_body(self) -> bool:
@@ -141,6 +142,10 @@
         """Set how much is held of a response to be delivered in one piece."""
         self._holding.set(held_bytes.Kind.RESPONSE, size)
 
+    def set_failure(self, size: int) -> None:
+        """Set how much is held of a failure while another server is tried."""
+        self._holding.set(held_bytes.Kind.FAILURE, size)
+
     def may_hold_response(self) -> bool:
         """Return whether a response may be held until it is read in whole."""
         return self._holding.may_hold_response()
--- a/src/lugcross/http1/client.py
+++ b/src/lugcross/http1/client.py
@@ -252,6 +252,15 @@
             parts.append(data)
         return b"".join(parts)
 
+    async def skip_body(self) -> None:
+        """Read the rest of the body and discard it.
+
+        :raises ConnectionBrokenError: if the connection ends before the body
+            is complete.
+        """
+        while await self.read_data() is not None:
+            pass
+
     async def read_body_to_hold(self) -> tuple[list[bytes], bool]:
         """Return the rest of the body, as far as it may be held.
 
--- a/testing/crowds/test_crowds.py
+++ b/testing/crowds/test_crowds.py
@@ -24,6 +24,7 @@
     [
         "callers-ahead",
         "callers-bodies",
+        "callers-failed-unread",
         "callers-garbage",
         "callers-half-head",
         "callers-held",
--- a/testing/edge/test_slow_readers.py
+++ b/testing/edge/test_slow_readers.py
@@ -218,6 +218,49 @@
     run([[rig.answer(200, body), rig.answer(200, body)]], act)
 
 
+@pytest.mark.parametrize("count", [1, 2])
+def test_a_large_failure_of_a_server_is_held_up_to_the_bound(run, count):
+    # Symptom: a process went over the memory of its host. Sequence: a server
+    # failed requests with large bodies, whose callers read slowly. Cause: a
+    # failure was read in whole and not counted.
+    body = b"y" * RESPONSE_BYTES
+    highest = []
+
+    async def act(r):
+        held = r.edge_state.held_bytes
+        callers = [await _ask(r) for _ in range(count)]
+        await _until(lambda: held.measure is held_bytes.Measure.SLOW_RESPONSES)
+        highest.append(held.total)
+        answers = await asyncio.gather(
+            *(one.read(pause_s=0.001) for one in callers)
+        )
+        for one in map(rig.parse_answer, answers):
+            assert (one.status, one.complete) == (500, True)
+            assert one.body == body
+        await _until(lambda: held.total == 0)
+
+    run([[rig.answer(500, body) for _ in range(count)]], act)
+    assert highest[0] < LIMIT_BYTES + MARGIN_BYTES
+
+
+def test_a_small_failure_is_held_while_another_server_is_tried(run):
+    async def act(r):
+        r.adopt(rig.SAFE_ROUTE, version=2)
+        held_at_retry = []
+
+        async def answer(seen, writer):
+            held_at_retry.append(r.edge_state.held_bytes.total)
+            await rig.answer()(seen, writer)
+
+        r.backends[1].scripts.append(answer)
+        got = rig.parse_answer(await (await _ask(r)).read())
+        assert (got.status, got.body) == (200, b"whole")
+        assert held_at_retry[0] >= BODY_BYTES
+        await _until(lambda: r.edge_state.held_bytes.total == 0)
+
+    run([[rig.answer(500, b"y" * BODY_BYTES)], []], act)
+
+
 def test_the_connection_of_a_caller_that_never_reads_is_closed(run):
     """Guards against memory that is held after a caller's deadline."""
 
