Let the time of a request run while its body is read

Clients that sent bodies byte by byte kept their connections for as long as they liked, and a request could be read on long after its route's timeout, without an answer.

Cause: the only limit on a body was the idle time, which began again with each byte; the time of the request, the caller's or the route's, was first looked at when the body was complete.

A request whose body has not arrived within that time gets 408: it has not run and never will. The time is looked up only for bodies that do not come with their head. A request without a route is refused as before, once its body has been read.

--- a/src/lugcross/edge/app.py
+++ b/src/lugcross/edge/app.py
@@ -160,6 +160,7 @@
             handle_caller=self._request_handler.handle,
             handle_readiness=readiness.handler(self.unready_reason),
             handle_metrics=self._handle_metrics,
+            time_limit=self._request_handler.time_limit,
             is_stopping=lambda: self._stopping_since is not None,
             clock=clock,
         )
--- a/src/lugcross/edge/listeners.py
+++ b/src/lugcross/edge/listeners.py
@@ -39,6 +39,8 @@
 class Listeners:
     """The listening addresses for callers, readiness checks and metrics.
 
+    :param time_limit: returns the time that a caller's request has from its
+        head on.
     :param is_stopping: whether this process is being stopped.
     """
 
@@ -50,6 +52,7 @@
         handle_caller: http1.Handler,
         handle_readiness: http1.Handler,
         handle_metrics: http1.Handler,
+        time_limit: http1.TimeLimit,
         is_stopping: Callable[[], bool],
         clock: clock_lib.Clock,
     ) -> None:
@@ -72,6 +75,7 @@
             count_closed=functools.partial(
                 edge_state.metrics.count_closed, "callers"
             ),
+            time_limit=time_limit,
             gate=self._gate,
         )
         self._servers = [(self.callers, listen.callers)]
--- a/src/lugcross/edge/request_handler.py
+++ b/src/lugcross/edge/request_handler.py
@@ -74,6 +74,24 @@
                 exc.status, exc.headers(), exc.body(), complete=True
             )
 
+    def time_limit(
+        self, target: bytes, headers: list[tuple[bytes, bytes]]
+    ) -> datetime.timedelta | None:
+        """Return the time that a request has from its head on.
+
+        :returns: None if there is no route for it.
+        """
+        state = self._edge_state.desired
+        if state is None:
+            return None
+        try:
+            route = self._find_route(state, target, headers)
+        except request_errors.RequestError:
+            # It is refused once its body has been read.
+            return None
+        head = platform.parse_caller_request_head(headers)
+        return _time_limit(route, head)
+
     def _check_request(
         self, req: http1.Request, head: platform.CallerRequestHead
     ) -> checked_request.CheckedRequest:
@@ -84,25 +102,27 @@
         state = self._edge_state.desired
         if state is None:
             raise request_errors.not_ready("no desired state is known yet")
-        route = self._find_route(state, req)
+        route = self._find_route(state, req.target, req.headers)
         workspace = self._authenticate(state, route, head)
-        wait = min(head.time_left or route.timeout, route.timeout)
         return checked_request.CheckedRequest(
             req=req,
             caller_head=head,
             route=route,
             service=self._pick_service(route),
             workspace=workspace,
-            deadline=req.received_at + wait,
+            deadline=req.received_at + _time_limit(route, head),
             desired_version=state.version,
         )
 
     def _find_route(
-        self, state: desired.DesiredState, req: http1.Request
+        self,
+        state: desired.DesiredState,
+        target: bytes,
+        headers: list[tuple[bytes, bytes]],
     ) -> desired.Route:
-        hosts = [value for name, value in req.headers if name == b"host"]
+        hosts = [value for name, value in headers if name == b"host"]
         host = hosts[0].decode("latin-1") if hosts else ""
-        path = req.target.decode("latin-1").partition("?")[0]
+        path = target.decode("latin-1").partition("?")[0]
         route = state.find_route(host, path) or state.find_route(
             host.rpartition(":")[0], path
         )
@@ -234,3 +254,9 @@
             "use": workspace_quota.in_progress,
             "share": round(workspace_quota.fair_share(capacity), 1),
         }
+
+
+def _time_limit(
+    route: desired.Route, head: platform.CallerRequestHead
+) -> datetime.timedelta:
+    return min(head.time_left or route.timeout, route.timeout)
--- a/src/lugcross/http1/__init__.py
+++ b/src/lugcross/http1/__init__.py
@@ -14,6 +14,7 @@
 from lugcross.http1.connection_server import ConnectionServer
 from lugcross.http1.listener import Listener
 from lugcross.http1.parsing_turns import ParsingTurns
+from lugcross.http1.request_reader import TimeLimit
 from lugcross.http1.response_writer import ResponseWriter
 from lugcross.http1.server import CloseReason
 from lugcross.http1.server import Handler
@@ -36,5 +37,6 @@
     "ResponseMemory",
     "ResponseWriter",
     "ServerConn",
+    "TimeLimit",
     "connect",
 ]
--- a/src/lugcross/http1/connection_server.py
+++ b/src/lugcross/http1/connection_server.py
@@ -13,6 +13,7 @@
 from lugcross.http1 import caller_memory
 from lugcross.http1 import listener
 from lugcross.http1 import parsing_turns
+from lugcross.http1 import request_reader
 from lugcross.http1 import server
 
 #: Connections that may wait to be accepted; enough for all clients that
@@ -25,6 +26,8 @@
     """The connections of one listening address.
 
     :param name: name of the address, for the log.
+    :param time_limit: returns the time that a request has from its head on,
+        by its target and headers; None for any time.
     :param turns: turns for input that takes long to parse, shared by all
         addresses of the process.
     :param gate: admits new connections; None to admit all up to the bound.
@@ -45,8 +48,10 @@
         turns: parsing_turns.ParsingTurns,
         max_connections: float,
         count_closed: Callable[[enum.Enum], None],
+        time_limit: request_reader.TimeLimit = lambda target, headers: None,
         gate: connection_limits.ConnectionGate | None = None,
     ) -> None:
+        self._time_limit = time_limit
         self._handler = handler
         self._limits = limits
         self._draining = draining
@@ -131,6 +136,7 @@
             draining=self._draining,
             clock=self._clock,
             held=self._held,
+            time_limit=self._time_limit,
             turns=self._turns,
             on_state=self._update_state,
             on_closed=self._closed.note,
--- a/src/lugcross/http1/request_reader.py
+++ b/src/lugcross/http1/request_reader.py
@@ -18,11 +18,17 @@
 from lugcross.http1 import parsing_turns
 from lugcross.http1 import received_data
 
+#: Stands for no limit on the time of a request.
+_NO_TIME_LIMIT = datetime.timedelta(days=1)
 #: Data of a head or a chunked body that is parsed at once.
 _PARSED_BYTES = 4_096
 #: Data of a body with a length that is parsed at once.
 _PLAIN_BODY_BYTES = 65_536
 
+TimeLimit = Callable[
+    [bytes, list[tuple[bytes, bytes]]], datetime.timedelta | None
+]
+
 
 @final
 class RequestReader:
@@ -31,6 +37,8 @@
     :param conn: parser of the connection; not used for reading by others.
     :param write: writes to the caller.
     :param memory: what is held for this caller; None if that is not bounded.
+    :param time_limit: returns the time that a request has from its head on, by
+        its target and headers; None for any time.
     :param turns: turns for input beyond the first :data:`_PARSED_BYTES` of a
         request, but for bodies with a length.
     :ivar method: method of the last request.
@@ -49,8 +57,10 @@
         write: Callable[[bytes], Awaitable[None]],
         clock: clock_lib.Clock,
         memory: caller_memory.CallerMemory | None,
+        time_limit: TimeLimit,
         turns: parsing_turns.ParsingTurns,
     ) -> None:
+        self._time_limit = time_limit
         self._turns = turns
         self._has_turn = False
         #: Whether what comes next is parsed in turns.
@@ -112,7 +122,7 @@
         self._count_held()
         body = b""
         if not self.refused:
-            body = await self._read_whole_body(limits)
+            body = await self._read_whole_body(limits, head, received_at)
         return caller_request.Request(
             method=head.method,
             target=head.target,
@@ -152,11 +162,16 @@
     def _unparsed_bytes(self) -> int:
         return self._received.size + len(self._h11.trailing_data[0])
 
-    async def _read_whole_body(self, limits: desired.RequestLimits) -> bytes:
+    async def _read_whole_body(
+        self,
+        limits: desired.RequestLimits,
+        head: h11.Request,
+        received_at: clock_lib.Instant,
+    ) -> bytes:
         if self._h11.they_are_waiting_for_100_continue:
             go_on = h11.InformationalResponse(status_code=100, headers=[])
             await self._write(self._h11.send(go_on) or b"")
-        body = await self._read_body(limits)
+        body = await self._read_body(limits, head, received_at)
         self._body_bytes = len(body)
         self._count_held()
         return body
@@ -186,9 +201,15 @@
             return event
         return None
 
-    async def _read_body(self, limits: desired.RequestLimits) -> bytes:
+    async def _read_body(
+        self,
+        limits: desired.RequestLimits,
+        head: h11.Request,
+        received_at: clock_lib.Instant,
+    ) -> bytes:
         # Chunks of a few bytes would take many times their size as objects.
         body = bytearray()
+        deadline: clock_lib.Instant | None = None
         while True:
             event = self._next_event()
             if event is h11.NEED_DATA:
@@ -196,7 +217,10 @@
                 self._count_held()
                 if not await self._may_read_body():
                     return b""
-                await self._receive_body(limits)
+                if deadline is None:
+                    limit = self._time_limit(head.target, list(head.headers))
+                    deadline = received_at + (limit or _NO_TIME_LIMIT)
+                await self._receive_body(limits, deadline)
                 continue
             if not isinstance(event, h11.Data):
                 return bytes(body)
@@ -204,8 +228,16 @@
             if len(body) > limits.max_body_bytes:
                 raise caller_request.too_large_error(limits)
 
-    async def _receive_body(self, limits: desired.RequestLimits) -> None:
-        if await self._receive(limits.idle_timeout):
+    async def _receive_body(
+        self, limits: desired.RequestLimits, deadline: clock_lib.Instant
+    ) -> None:
+        left = deadline - self._clock.monotonic()
+        if left <= datetime.timedelta():
+            raise caller_request.BadRequestError(
+                http.HTTPStatus.REQUEST_TIMEOUT,
+                "the request's time ended before its body had arrived",
+            )
+        if await self._receive(min(limits.idle_timeout, left)):
             return
         if self._received.ended:
             raise caller_request.disconnected_error("within its request")
--- a/src/lugcross/http1/server.py
+++ b/src/lugcross/http1/server.py
@@ -63,6 +63,8 @@
         current response.
     :param held: counts and bounds what is held for this caller; None, or one
         without a limit, to let each write wait for the caller instead.
+    :param time_limit: returns the time that a request has from its head on,
+        by its target and headers; None for any time.
     :param turns: turns for input that takes long to parse, shared with other
         connections of the process.
     :param on_state: called with each new state of this connection; it begins
@@ -80,6 +82,7 @@
         draining: Callable[[], bool],
         clock: clock_lib.Clock,
         held: held_bytes.HeldBytes | None = None,
+        time_limit: request_reader.TimeLimit = lambda target, headers: None,
         turns: parsing_turns.ParsingTurns | None = None,
         on_state: Callable[
             ["ServerConn", connection_limits.ConnState], None
@@ -110,6 +113,7 @@
             write=self._write,
             clock=clock,
             memory=self.memory,
+            time_limit=time_limit,
             turns=turns or parsing_turns.ParsingTurns(),
         )
 
