Do not forward answers whose status is no status of HTTP

On other systems a client got an answer with the status 000. Here callers' requests got 502 for 000, 099, 00, 0200 and 101, as h11 rejects these, or another server's answer; but 600 and 999 were forwarded as they came.

Cause: h11 takes any status from 200 to 999 for valid. Such an answer now counts as broken, for callers' requests and for orders and queries to engines and calls to the store, which read heads in the same place.

--- a/src/lugcross/http1/client.py
+++ b/src/lugcross/http1/client.py
@@ -33,6 +33,8 @@
 BOUNDED_BUFFER_BYTES = 16_384
 #: Maximum size of a response head.
 _MAX_HEAD_BYTES = 65_536
+#: Highest status of HTTP. h11 rejects those below 100 and of other lengths.
+_MAX_STATUS = 599
 #: Time without an acknowledgment after which the kernel closes the
 #: connection. Longer than a few retransmissions of a lost packet, shorter
 #: than typical request timeouts.
@@ -218,6 +220,10 @@
         while True:
             event = await self._next_event()
             if isinstance(event, h11.Response):
+                if event.status_code > _MAX_STATUS:
+                    raise _broken_error(
+                        f"{event.status_code} is no status of HTTP"
+                    )
                 return ResponseHead(
                     event.status_code,
                     list(event.headers.raw_items()),
--- a/testing/edge/test_answers.py
+++ b/testing/edge/test_answers.py
@@ -201,6 +201,28 @@
     assert b"response-seal" not in got.headers
 
 
+@pytest.mark.parametrize(
+    "status", [b"000", b"099", b"00", b"0200", b"101", b"600", b"999"]
+)
+@pytest.mark.parametrize(
+    ("route", "expected"),
+    [(rig.SAFE_ROUTE, 200), (rig.UNSAFE_ROUTE_TWO_ATTEMPTS, 502)],
+    ids=["repeatable", "not-repeatable"],
+)
+def test_answer_with_an_invalid_status_is_never_forwarded(
+    run_with_rig, status, route, expected
+):
+    # Symptom: a caller got an answer whose status was no status. Sequence: a
+    # server in trouble sent it, complete and signed. Cause: any status of
+    # three digits from 200 on was taken for valid.
+    bad = rig.raw_bytes(
+        b"HTTP/1.1 %s X\r\nContent-Length: 2\r\nAttempt-Identifier: a1\r\n"
+        b"Response-Seal: s\r\n\r\nno" % status
+    )
+    got = run_with_rig(route, [[bad], [rig.answer()]], lambda r: r.ask())
+    assert got.status == expected
+
+
 def test_answer_to_an_earlier_request_is_skipped(run_with_rig):
     other = (
         b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n"
