Test crowds together, stops under them, and what they leave

Five crowds at four addresses at once, five unusual single requests inside the limits, SIGHUP and SIGTERM under three crowds, and descriptors and held bytes after three have gone.

--- a/testing/crowds/test_crowds.py
+++ b/testing/crowds/test_crowds.py
@@ -7,11 +7,15 @@
 """
 
 import asyncio
+import signal
 
 import crowd_cases
 import crowd_rig
 import pytest
 
+#: Descriptors for connections to servers that are kept for reuse.
+MAX_KEPT_DESCRIPTORS = 12
+
 
 def _check(system: crowd_rig.System) -> None:
     assert system.running, system.log_tail()
@@ -62,3 +66,67 @@
             _check(system)
 
     asyncio.run(main())
+
+
+def test_crowds_at_several_addresses_at_once(tmp_path):
+    async def main() -> None:
+        async with crowd_rig.System(tmp_path, crowd_cases.LIMITS) as system:
+            await system.play(*crowd_cases.TOGETHER)
+            await system.serve_ordinary_request()
+            await system.answer_readiness_check()
+            _check(system)
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize("name", sorted(crowd_cases.SINGLE_REQUESTS))
+def test_single_unusual_request_inside_the_limits_is_served(name, tmp_path):
+    async def main() -> None:
+        async with crowd_rig.System(tmp_path, crowd_cases.LIMITS) as system:
+            got = await system.answer_to(crowd_cases.SINGLE_REQUESTS[name])
+            statuses = [line for line in got.split(b"\n") if b"HTTP/" in line]
+            assert all(b" 200 " in one for one in statuses), got[:500]
+            sent = crowd_cases.SINGLE_REQUESTS[name].count(b" HTTP/1.1\r\n")
+            assert len(statuses) == sent
+            _check(system)
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize(
+    "name", ["callers-ahead", "ready-unread-in-turn", "state-open"]
+)
+def test_stop_and_reload_signals_work_under_a_crowd(name, tmp_path):
+    async def main() -> str:
+        async with crowd_rig.System(tmp_path, crowd_cases.LIMITS) as system:
+            await system.play(crowd_cases.CROWDS[name])
+            system.send_signal(signal.SIGHUP)
+            await system.serve_ordinary_request()
+            system.send_signal(signal.SIGTERM)
+            assert await system.wait() == 0
+            return system.log()
+
+    log = asyncio.run(main())
+    assert '"message": "settings reloaded"' in log
+    assert '"message": "stopped"' in log
+
+
+@pytest.mark.parametrize(
+    "name", ["callers-ahead", "callers-many-fields-held", "ready-unread"]
+)
+def test_nothing_of_a_crowd_is_left_when_it_is_gone(name, tmp_path):
+    async def main() -> None:
+        async with crowd_rig.System(tmp_path, crowd_cases.LIMITS) as system:
+            before = system.descriptors()
+            await system.play(crowd_cases.CROWDS[name])
+            system.close_clients()
+            system.backend.release.set()
+            async with asyncio.timeout(60):
+                # Connections to the backend server stay for reuse.
+                while system.descriptors() > before + MAX_KEPT_DESCRIPTORS:
+                    await asyncio.sleep(0.1)
+            assert b"lugcross_edge_held_bytes 0.0" in await system.metrics()
+            await system.serve_ordinary_request()
+            _check(system)
+
+    asyncio.run(main())
--- a/testing/support/crowd_rig.py
+++ b/testing/support/crowd_rig.py
@@ -8,6 +8,7 @@
 import os
 import pathlib
 import resource
+import signal
 import socket
 import sys
 from typing import final
@@ -36,6 +37,9 @@
 _READINESS_CHECK = (
     b"GET /readiness HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
 )
+_METRICS_REQUEST = (
+    b"GET /metrics HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+)
 #: A request as ordinary callers send it.
 ORDINARY = crowd_cases.request(crowd_cases.QUICK_PATH, close=True)
 
@@ -242,9 +246,36 @@
         """Whether the process has not ended."""
         return self._proc is not None and self._proc.returncode is None
 
+    def send_signal(self, num: signal.Signals) -> None:
+        """Send a signal to the process."""
+        assert self._proc is not None
+        self._proc.send_signal(num)
+
+    async def wait(self) -> int:
+        """Wait for the process to end; return its status.
+
+        :raises TimeoutError: if it hangs.
+        """
+        assert self._proc is not None
+        async with asyncio.timeout(_HANG_S):
+            return await self._proc.wait()
+
+    def descriptors(self) -> int:
+        """Return how many descriptors the process has open."""
+        assert self._proc is not None
+        return len(os.listdir(f"/proc/{self._proc.pid}/fd"))
+
+    async def metrics(self) -> bytes:
+        """Return the metrics of the process."""
+        return await self._exchange("metrics", _METRICS_REQUEST)
+
+    def log(self) -> str:
+        """Return the process's log."""
+        return self._log.read_text(encoding="utf-8")
+
     def log_tail(self, chars: int = 1000) -> str:
         """Return the end of the process's log."""
-        return self._log.read_text(encoding="utf-8")[-chars:]
+        return self.log()[-chars:]
 
     async def _sample(self) -> None:
         """Note the highest memory and most descriptors until cancelled."""
