Bound the peers that datagrams can name

Anyone who sends datagrams to the peers' address could make a process keep any number of peers, with up to 64 KB each, and an address without a port raised an error in the event loop.

Cause: each source of a heartbeat, each address that it names and each origin of a relayed one became a peer without a bound. Peers that fell silent were only forgotten after a pause without a heartbeat to send, which a busy process does not have.

At most 2,048 peers are known, of which heartbeats of 8 MB in sum are stored; known peers are heard on. Addresses that are none are left out, and silent peers are looked for once a second. Not mended: a host name in a forged heartbeat is looked up by the system, which may block.

--- a/src/lugcross/edge/peers.py
+++ b/src/lugcross/edge/peers.py
@@ -47,6 +47,14 @@
 _MAX_ADDRESSES = 16
 #: One in so many heartbeats carries addresses.
 _ADDRESSES_PERIOD_COUNT = 8
+#: Time between two searches for peers to forget.
+_FORGET_INTERVAL = datetime.timedelta(seconds=1)
+#: Peers that are known at most: several times as many as a fleet has, since
+#: anyone may send datagrams.
+_MAX_PEERS = 2_048
+#: Sum of the datagrams that may be stored, one for each peer.
+_MAX_STORED_BYTES = 8_000_000
+_MAX_PORT = 65_535
 
 
 @final
@@ -58,6 +66,7 @@
     :ivar heartbeat: newest heartbeat; none before the first.
     :ivar heard_at: when that arrived.
     :ivar added_at: when this process learned of the address.
+    :ivar heartbeat_bytes: size of the datagram of its last heartbeat.
     """
 
     host: str
@@ -65,6 +74,12 @@
     heartbeat: messages.Heartbeat | None = None
     heard_at: clock_lib.Instant | None = None
     added_at: clock_lib.Instant = datetime.timedelta()
+    heartbeat_bytes: int = 0
+
+    @property
+    def address(self) -> str:
+        """Its address, ``HOST:PORT``."""
+        return f"{self.host}:{self.port}"
 
     @property
     def domain(self) -> str | None:
@@ -108,6 +123,9 @@
         self._clock = clock
         self._transport: asyncio.DatagramTransport | None = None
         self._peers: dict[str, Peer] = {}
+        #: Sum of the datagrams of the peers' last heartbeats.
+        self._heartbeat_bytes = 0
+        self._next_forget_at = clock.monotonic()
         self._send_requested = asyncio.Event()
         self._sequence = 0
 
@@ -127,10 +145,10 @@
             return
         if isinstance(message, messages.RelayedHeartbeat):
             if message.origin != self._own_address:
-                self._update(message.origin, message.heartbeat)
+                self._update(message.origin, message.heartbeat, len(data))
             return
         origin = f"{addr[0]}:{addr[1]}"
-        self._update(origin, message)
+        self._update(origin, message, len(data))
         if message.relay:
             self._relay(messages.RelayedHeartbeat(origin, message))
 
@@ -141,8 +159,19 @@
             if peer.domain == self._domain:
                 self._send_to(peer, data)
 
-    def _update(self, origin: str, heartbeat: messages.Heartbeat) -> None:
-        peer = self._add(origin)
+    def _update(
+        self, origin: str, heartbeat: messages.Heartbeat, size: int
+    ) -> None:
+        """Handle a heartbeat, unless there is no room for it.
+
+        :param size: size of its datagram.
+        """
+        peer = self._add_if_valid(origin)
+        if peer is None:
+            return
+        change = size - peer.heartbeat_bytes
+        if change > 0 and self._heartbeat_bytes + change > _MAX_STORED_BYTES:
+            return
         same = (
             peer.heartbeat
             and peer.heartbeat.incarnation == heartbeat.incarnation
@@ -161,8 +190,11 @@
             self._send_requested.set()
         peer.heartbeat = heartbeat
         peer.heard_at = self._clock.monotonic()
-        for address in heartbeat.known_addresses:
-            self._add(address)
+        if peer.address in self._peers:
+            self._heartbeat_bytes += change
+            peer.heartbeat_bytes = size
+        for address in heartbeat.known_addresses[:_MAX_ADDRESSES]:
+            self._add_if_valid(address)
         self._on_heartbeat(peer)
 
     def error_received(self, exc: Exception) -> None:
@@ -212,7 +244,8 @@
                 ):
                     await self._send_requested.wait()
             except TimeoutError:
-                self._forget_silent()
+                pass
+            self.forget_silent()
             self._send_requested.clear()
             self.send_due()
             await asyncio.sleep(_MIN_SEND_INTERVAL.total_seconds())
@@ -287,10 +320,31 @@
             self._peers[address] = peer
         return peer
 
-    def _forget_silent(self) -> None:
+    def _add_if_valid(self, address: str) -> Peer | None:
+        """Return the peer of an address that a datagram names.
+
+        :returns: None if it is no address, or if too many peers are known.
+        """
+        known = self._peers.get(address)
+        if known is not None:
+            return known
+        host, _, port = address.rpartition(":")
+        is_address = host and port.isascii() and port.isdigit()
+        if not is_address or int(port[:6]) > _MAX_PORT:
+            return None
+        if len(self._peers) >= _MAX_PEERS:
+            return None
+        return self._add(address)
+
+    def forget_silent(self) -> None:
+        """Forget the peers that have been silent for long."""
         now = self._clock.monotonic()
+        if now < self._next_forget_at:
+            return
+        self._next_forget_at = now + _FORGET_INTERVAL
         for address, peer in list(self._peers.items()):
             if now - (peer.heard_at or peer.added_at) > _FORGET_TIMEOUT:
+                self._heartbeat_bytes -= peer.heartbeat_bytes
                 del self._peers[address]
 
 
