Let clients misbehave in the soak

Three clients of each of seven crowds come to a process as one more fault, beside the others, and stay until half of the round's requests are done.

--- a/testing/soak/test_soak.py
+++ b/testing/soak/test_soak.py
@@ -14,6 +14,8 @@
 import random
 import signal
 
+import crowd_cases
+import crowd_rig
 import pytest
 import soak_checks
 import soak_fleet
@@ -55,6 +57,20 @@
 #: Appends that are done but get no answer.
 LOST_APPENDS = 2
 REQUESTS_PER_ROUND = 6
+#: Crowds of clients that don't behave, and how many of each a fault sends.
+SMALL_CROWDS = [
+    crowd_cases.CROWDS[name]
+    for name in (
+        "callers-half-head",
+        "callers-many-fields",
+        "callers-small-chunks",
+        "callers-unread",
+        "metrics-unread",
+        "ready-unread",
+        "state-unread",
+    )
+]
+CLIENTS_PER_CROWD = 3
 
 
 class _SoakRun:
@@ -243,6 +259,32 @@
     await run.take_process().restart(signal.SIGTERM)
 
 
+async def crowd_at_a_process(run: _SoakRun) -> None:
+    """Let a few clients misbehave at each address of a process."""
+    one = run.rng.choice(run.fleet.processes)
+    clients = [
+        (crowd_rig.Client(one.ports[crowd.port.value]), crowd)
+        for crowd in SMALL_CROWDS
+        for _ in range(CLIENTS_PER_CROWD)
+    ]
+    try:
+        await asyncio.gather(
+            *(_misbehave(client, crowd) for client, crowd in clients)
+        )
+        await run.wait_until_half_done()
+    finally:
+        for client, _ in clients:
+            client.close()
+
+
+async def _misbehave(
+    client: crowd_rig.Client, crowd: crowd_cases.Crowd
+) -> None:
+    # The process may be down for another fault.
+    if await client.connect():
+        await client.send(iter([crowd.opening, crowd.repeated]))
+
+
 Fault = Callable[[_SoakRun], Awaitable[None]]
 FAULTS: list[Fault] = [
     blackhole_store_connections,
@@ -257,6 +299,7 @@
     limit_store_answers,
     repeat_answers_of_a_server,
     evacuate_domain,
+    crowd_at_a_process,
     pause_process,
     kill_process,
     stop_and_restart_process,
