--- a/src/lugcross/edge/state_connection.py
+++ b/src/lugcross/edge/state_connection.py
@@ -17,7 +17,7 @@
 #: Connections that may wait to be accepted: all peers after a restart.
 _MAX_PENDING_CONNECTIONS = 1024
 #: Connections that asyncio accepts before they are counted.
-MAX_ACCEPTED_AT_ONCE = 16
+MAX_ACCEPTED_CONNECTIONS = 16
 #: Size of the kernel's receive buffer of a connection; requests are short.
 _RECEIVE_BUFFER_BYTES = 16_384
 
--- a/src/lugcross/edge/state_transfer.py
+++ b/src/lugcross/edge/state_transfer.py
@@ -62,7 +62,7 @@
         self._server = await ws_server.serve(
             self._serve,
             sock=sock,
-            backlog=state_connection.MAX_ACCEPTED_AT_ONCE,
+            backlog=state_connection.MAX_ACCEPTED_CONNECTIONS,
             max_size=_MAX_REQUEST_BYTES,
             compression=None,
             open_timeout=REQUEST_TIMEOUT_S,
--- a/src/lugcross/http1/caller_request.py
+++ b/src/lugcross/http1/caller_request.py
@@ -66,9 +66,12 @@
     return text + _FIELD_BYTES * len(headers)
 
 
-def has_length(headers: list[tuple[bytes, bytes]]) -> bool:
-    """Return whether a request states the length of its body."""
-    return any(name == b"content-length" for name, _ in headers)
+def body_length(headers: list[tuple[bytes, bytes]]) -> int | None:
+    """Return the length of a body that a request states, if it does."""
+    for name, value in headers:
+        if name == b"content-length":
+            return int(value)
+    return None
 
 
 def has_body(headers: list[tuple[bytes, bytes]]) -> bool:
--- a/src/lugcross/http1/received_data.py
+++ b/src/lugcross/http1/received_data.py
@@ -49,6 +49,10 @@
         del self._data[:max_bytes]
         return data
 
+    def clear(self) -> None:
+        """Discard what is kept."""
+        self._data.clear()
+
     async def read_ahead(self, *, may_keep_more: bool) -> bool:
         """Read more while a request is served.
 
--- a/src/lugcross/http1/request_reader.py
+++ b/src/lugcross/http1/request_reader.py
@@ -4,6 +4,7 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+import contextlib
 import datetime
 import http
 from typing import Any
@@ -65,8 +66,8 @@
         self._has_turn = False
         #: Whether what comes next is parsed in turns.
         self._needs_turn = False
-        #: Whether the present request has a body with a length.
-        self._is_plain_body = False
+        #: Length of the present request's body; None if the head states none.
+        self._body_length: int | None = None
         self._received = received_data.ReceivedData(reader, writer)
         self._h11 = conn
         self._write = write
@@ -93,7 +94,7 @@
         self._head_bytes = 0
         self._body_bytes = 0
         self._needs_turn = False
-        self._is_plain_body = False
+        self._body_length = None
         try:
             return await self._read_request(limits)
         finally:
@@ -109,7 +110,7 @@
         received_at = self._clock.monotonic()
         headers = list(head.headers)
         caller_request.check_framing(headers, limits)
-        self._is_plain_body = caller_request.has_length(headers)
+        self._body_length = caller_request.body_length(headers)
         self._head_bytes = caller_request.head_bytes(headers)
         self.refused = (
             self._memory is not None
@@ -150,8 +151,11 @@
         self.was_sent_ahead = bool(self._unparsed_bytes())
 
     async def discard(self, wait: datetime.timedelta) -> None:
-        """Read once more and discard it; wait for it for some time."""
-        await self._receive(wait)
+        """Discard what has come and what comes next within some time."""
+        self._received.clear()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(wait.total_seconds()):
+                await self._received.wait()
 
     def _count_held(self) -> None:
         if self._memory is not None:
@@ -273,8 +277,11 @@
                     return False
         except TimeoutError:
             return False
-        if self._is_plain_body:
-            self._h11.receive_data(self._received.take(_PLAIN_BODY_BYTES))
+        if self._body_length is not None:
+            # Takes nothing of the next request, which may need turns.
+            left = self._body_length - self._body_bytes
+            size = min(left, _PLAIN_BODY_BYTES)
+            self._h11.receive_data(self._received.take(size))
             return True
         if self._needs_turn:
             await self._turns.begin()
