--- a/testing/support/crash_rig.py
+++ b/testing/support/crash_rig.py
@@ -226,6 +226,9 @@
             found.append((b"server-limit", self._server.limit))
         return http1.ResponseHead(status, found, found)
 
+    async def skip_body(self) -> None:
+        await self.read_body()
+
     async def read_body(self) -> bytes:
         return b"whole"
 
