Share what listens for callers and for peers, and drop doubled state

http1.listening_socket serves both kinds of addresses, OpenConnections.all names the connections to close, and CallerMemory.may_read_body is gone.

--- a/src/lugcross/connection_limits/open_connections.py
+++ b/src/lugcross/connection_limits/open_connections.py
@@ -74,6 +74,10 @@
         """Whether no further connection may be opened."""
         return self.count >= self._max_count
 
+    def all(self) -> list[ConnT]:
+        """Return the connections that were added and are still open."""
+        return list(self._all)
+
     def reserve(self) -> None:
         """Count a connection that is accepted; :meth:`add` follows."""
         self._reserved_count += 1
--- a/src/lugcross/edge/state_connection.py
+++ b/src/lugcross/edge/state_connection.py
@@ -4,7 +4,6 @@
 import asyncio
 from collections.abc import Callable
 import enum
-import socket
 from typing import Any
 from typing import final
 
@@ -14,12 +13,8 @@
 from lugcross import connection_limits
 from lugcross import http1
 
-#: Connections that may wait to be accepted: all peers after a restart.
-_MAX_PENDING_CONNECTIONS = 1024
 #: Connections that asyncio accepts before they are counted.
 MAX_ACCEPTED_CONNECTIONS = 16
-#: Size of the kernel's receive buffer of a connection; requests are short.
-_RECEIVE_BUFFER_BYTES = 16_384
 
 
 @final
@@ -65,18 +60,3 @@
         """Close the connection at once."""
         self._note_closed(reason)
         self.transport.abort()
-
-
-def listen(host: str, port: int) -> socket.socket:
-    """Return a listening socket for :class:`StateConnection`.
-
-    :raises OSError: if the address is not available.
-    """
-    sock = socket.create_server((host, port), backlog=_MAX_PENDING_CONNECTIONS)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, _RECEIVE_BUFFER_BYTES)
-    return sock
-
-
-def allow_pending(sock: socket.socket) -> None:
-    """Let many connections wait, as asyncio lets only few."""
-    sock.listen(_MAX_PENDING_CONNECTIONS)
--- a/src/lugcross/edge/state_transfer.py
+++ b/src/lugcross/edge/state_transfer.py
@@ -22,6 +22,8 @@
 
 #: Longest wait for a peer's response, connecting included.
 REQUEST_TIMEOUT_S = 1.0
+#: Connections that may wait to be accepted: all peers after a restart.
+_MAX_PENDING_CONNECTIONS = 1024
 #: Largest request that is accepted.
 _MAX_REQUEST_BYTES = 4096
 #: Largest response that is accepted; it must hold a large desired state.
@@ -58,7 +60,9 @@
 
     async def start(self, host: str, port: int) -> None:
         """Start to listen."""
-        sock = state_connection.listen(host, port)
+        sock = http1.listening_socket(
+            host, port, backlog=_MAX_PENDING_CONNECTIONS
+        )
         self._server = await ws_server.serve(
             self._serve,
             sock=sock,
@@ -70,7 +74,8 @@
             # It only has to be callable like the class.
             create_connection=cast(Any, self._create_connection),
         )
-        state_connection.allow_pending(sock)
+        # asyncio lets only as many wait as it accepts at once.
+        sock.listen(_MAX_PENDING_CONNECTIONS)
 
     def close(self) -> None:
         """Stop listening."""
--- a/src/lugcross/http1/__init__.py
+++ b/src/lugcross/http1/__init__.py
@@ -13,6 +13,7 @@
 from lugcross.http1.client import ResponseMemory
 from lugcross.http1.connection_server import ConnectionServer
 from lugcross.http1.listener import Listener
+from lugcross.http1.listener import listening_socket
 from lugcross.http1.parsing_turns import ParsingTurns
 from lugcross.http1.request_reader import TimeLimit
 from lugcross.http1.response_writer import ResponseWriter
@@ -39,4 +40,5 @@
     "ServerConn",
     "TimeLimit",
     "connect",
+    "listening_socket",
 ]
--- a/src/lugcross/http1/caller_memory.py
+++ b/src/lugcross/http1/caller_memory.py
@@ -117,10 +117,6 @@
         self.set_failure(0)
         self._holding.end_request()
 
-    def may_read_body(self) -> bool:
-        """Return whether more of the body may be read now."""
-        return self._holding.may_read_body()
-
     async def wait_to_read_body(self) -> bool:
         """Wait while no further body may be read; return False if too long."""
         if self._holding.may_read_body():
--- a/src/lugcross/http1/connection_server.py
+++ b/src/lugcross/http1/connection_server.py
@@ -60,7 +60,6 @@
         self._turns = turns
         self._gate = gate
         self._closed = connection_limits.ClosedConnections(name, count_closed)
-        self._conns: set[server.ServerConn] = set()
         self._open: connection_limits.OpenConnections[server.ServerConn] = (
             connection_limits.OpenConnections(max_connections)
         )
@@ -76,11 +75,6 @@
         """Number of open connections."""
         return self._open.count
 
-    @property
-    def port(self) -> int:
-        """The port that it listens on."""
-        return self._listener.port
-
     def start(self, host: str, port: int) -> None:
         """Listen.
 
@@ -94,7 +88,7 @@
 
     def close_idle(self) -> None:
         """Close the connections that carry no request."""
-        for conn in list(self._conns):
+        for conn in self._open.all():
             conn.close_if_idle()
 
     def log_closed(self) -> None:
@@ -141,12 +135,10 @@
             on_state=self._update_state,
             on_closed=self._closed.note,
         )
-        self._conns.add(conn)
         self._open.add(conn)
         try:
             await conn.run()
         finally:
-            self._conns.discard(conn)
             self._open.remove(conn)
 
     def _update_state(
--- a/src/lugcross/http1/listener.py
+++ b/src/lugcross/http1/listener.py
@@ -30,6 +30,18 @@
 ]
 
 
+def listening_socket(host: str, port: int, *, backlog: int) -> socket.socket:
+    """Return a listening socket whose connections have small buffers.
+
+    :param backlog: connections that may wait to be accepted.
+    :raises OSError: if the address is not available.
+    """
+    sock = socket.create_server((host, port), backlog=backlog)
+    # Accepted connections inherit it.
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, _RECEIVE_BUFFER_BYTES)
+    return sock
+
+
 @final
 class Listener:
     """A listening socket.
@@ -68,11 +80,7 @@
         :param backlog: connections that may wait to be accepted.
         :raises OSError: if the address is not available.
         """
-        self._sock = socket.create_server((host, port), backlog=backlog)
-        # Accepted connections inherit it.
-        self._sock.setsockopt(
-            socket.SOL_SOCKET, socket.SO_RCVBUF, _RECEIVE_BUFFER_BYTES
-        )
+        self._sock = listening_socket(host, port, backlog=backlog)
         self._sock.setblocking(False)
         self._watch()
 
--- a/src/lugcross/http1/request_reader.py
+++ b/src/lugcross/http1/request_reader.py
@@ -252,10 +252,8 @@
 
     async def _may_read_body(self) -> bool:
         """Wait for memory; note if the request is refused for lack of it."""
-        if self._memory is None or self._memory.may_read_body():
-            return True
         self._end_turn()
-        if await self._memory.wait_to_read_body():
+        if self._memory is None or await self._memory.wait_to_read_body():
             return True
         self.refused = True
         return False
